--- /dev/null
+++ b/agateroute_config/src/document.rs
@@ -0,0 +1,66 @@
+//! The root of the declared document.
+
+use crate::limits::Limits;
+use crate::member::Member;
+use crate::model::Model;
+use crate::rank::Rank;
+use crate::routing::Routing;
+use crate::server::Server;
+use crate::service::Service;
+
+section! {
+    /// Everything that a deployment declares. One version of it is in force at a time.
+    pub struct Document {
+        /// The name of the deployment, as reports show it.
+        #[schemars(length(min = 1))]
+        pub deployment: String,
+        /// The ranks of work, the most urgent first.
+        #[schemars(length(min = 1))]
+        pub ranks: Vec<Rank>,
+        /// The models that members may ask for.
+        #[serde(default)]
+        pub models: Vec<Model>,
+        /// The plain services that members may call.
+        #[serde(default)]
+        pub services: Vec<Service>,
+        /// The backend servers that run models and services.
+        #[serde(default)]
+        pub servers: Vec<Server>,
+        /// The members that may call.
+        #[serde(default)]
+        pub members: Vec<Member>,
+        /// The limits on what a caller may send.
+        #[serde(default)]
+        pub limits: Limits,
+        /// The constants of routing, time limits and retries.
+        #[serde(default)]
+        pub routing: Routing,
+    }
+}
+
+impl Document {
+    /// The position of a rank in the order of urgency, 0 for the most urgent.
+    pub fn rank_index(&self, name: &str) -> Option<usize> {
+        self.ranks.iter().position(|r| r.name == name)
+    }
+
+    /// Finds a model by name.
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        self.models.iter().find(|m| m.name == name)
+    }
+
+    /// Finds a plain service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|s| s.name == name)
+    }
+
+    /// Finds a backend server by name.
+    pub fn server(&self, name: &str) -> Option<&Server> {
+        self.servers.iter().find(|s| s.name == name)
+    }
+
+    /// Finds a member by name.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.iter().find(|m| m.name == name)
+    }
+}
--- /dev/null
+++ b/agateroute_config/src/member.rs
@@ -0,0 +1,37 @@
+//! Members, their keys and grants, and what each is owed.
+
+section! {
+    /// A member of the deployment: an organisation that calls.
+    pub struct Member {
+        /// The name that logs, metrics and reports use.
+        #[schemars(length(min = 1))]
+        pub name: String,
+        /// The keys that name this member.
+        #[schemars(length(min = 1))]
+        pub keys: Vec<Key>,
+        /// The models that it may ask for.
+        #[serde(default)]
+        pub models: Vec<String>,
+        /// The plain services that it may call.
+        #[serde(default)]
+        pub services: Vec<String>,
+        /// What it is owed under load, relative to the other members.
+        #[serde(default = "share")]
+        #[schemars(range(min = 1))]
+        pub share: u32,
+    }
+
+    /// A bearer key. Only its digest is declared.
+    pub struct Key {
+        /// The SHA-256 digest of the key, as 64 lower-case hexadecimal digits.
+        #[schemars(regex(pattern = "^[0-9a-f]{64}$"))]
+        pub sha256: String,
+        /// What the key is for.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        pub note: String,
+    }
+}
+
+fn share() -> u32 {
+    1
+}
--- /dev/null
+++ b/agateroute_core/src/admission.rs
@@ -0,0 +1,128 @@
+//! Which waiting request goes next on a backend server, and whether there is room for it.
+
+use agateroute_proto::peers::Ask;
+
+use crate::catalog::Capacity;
+use crate::desk::{Desk, Surroundings, Waiting};
+use crate::estimate::{Class, Curve, Estimator};
+use crate::id::Id;
+use crate::memory::{self, Load};
+
+/// How far above its even part of the queue a member may be before it counts as asking for more
+/// than it is owed.
+const OVER_SHARE_FACTOR: f64 = 2.0;
+
+/// The position of the waiting request that goes next.
+pub fn next(desk: &Desk, around: &Surroundings<'_>) -> Option<usize> {
+    let mut ranks: Vec<u8> = desk.waiting.iter().map(|w| w.ask.rank as u8).collect();
+    ranks.sort_unstable();
+    ranks.dedup();
+    let floor = |rank: u8| around.catalog.ranks.get(usize::from(rank)).map_or(0.0, |r| r.floor);
+    let rank = desk.counters.next_rank(&ranks, floor)?;
+    let mut best: Option<(usize, f64)> = None;
+    for (i, waiting) in desk.waiting.iter().enumerate() {
+        if waiting.ask.rank != u32::from(rank) {
+            continue;
+        }
+        let counter = desk.counters.member(rank, waiting.ask.member);
+        if best.is_none_or(|(_, least)| counter < least) {
+            best = Some((i, counter));
+        }
+    }
+    best.map(|(i, _)| i)
+}
+
+/// Whether a request can start now.
+pub fn room(desk: &Desk, waiting: &Waiting, around: &Surroundings<'_>) -> bool {
+    if desk.running.is_empty() {
+        return desk.foreign(around.now) == 0 || !waiting.ask.alone;
+    }
+    if waiting.ask.alone || desk.running.iter().any(|h| h.alone) {
+        return false;
+    }
+    let part = match desk.cautious(around.now) {
+        true => f64::from(around.catalog.routing().fallback_percent) / 100.0,
+        false => 1.0,
+    };
+    match desk.capacity {
+        Capacity::Engine { memory, batch } => {
+            let batch = (f64::from(batch) * part).max(1.0) as usize;
+            desk.running.len() < batch && memory_room(desk, waiting, memory as f64 * part, around)
+        }
+        Capacity::Slots(_) => {
+            let allowed = (desk.limit.allowed() as f64 * part).max(1.0) as usize;
+            desk.running.len() + (desk.foreign(around.now) as usize) < allowed
+        }
+    }
+}
+
+fn memory_room(desk: &Desk, waiting: &Waiting, memory: f64, around: &Surroundings<'_>) -> bool {
+    let prior = Curve::prior();
+    let running = desk.running.iter().map(|h| Load {
+        prompt: h.prompt as f32,
+        done: h.tokens as f32,
+        most: most_tokens(h.most),
+        curve: around.estimator.curve(h.class).unwrap_or(&prior),
+    });
+    let ask = &waiting.ask;
+    let class = Class { model: ask.target, kind: ask.kind, member: ask.member };
+    let added = Load {
+        prompt: ask.prompt as f32,
+        done: 0.0,
+        most: most_tokens(ask.most),
+        curve: around.estimator.curve(class).unwrap_or(&prior),
+    };
+    let peak = memory::peak(running.chain([added]), desk.deviations);
+    f64::from(peak) + desk.foreign(around.now) as f64 <= memory
+}
+
+fn most_tokens(most: u32) -> f32 {
+    if most == 0 { f32::INFINITY } else { most as f32 }
+}
+
+/// The tokens that a generation is expected to produce.
+pub fn expected(estimator: &Estimator, class: Class, most: u32) -> f64 {
+    let mean = estimator.curve(class).map_or_else(|| Curve::prior().mean(), Curve::mean);
+    f64::from(mean.min(most_tokens(most)))
+}
+
+/// About how many requests get their permit before an ask that comes now: everything of more
+/// urgent ranks, and of its own rank as many for each other member as its own member has waiting,
+/// weighted by what they are owed.
+pub fn ahead(desk: &Desk, ask: &Ask, around: &Surroundings<'_>) -> f64 {
+    let urgent = desk.waiting.iter().filter(|w| w.ask.rank < ask.rank).count() as f64;
+    let own = waiting_of(desk, ask.rank, ask.member) + 1.0;
+    let share = around.catalog.share(ask.member);
+    let mut others: Vec<Id> = same_rank(desk, ask.rank).map(|w| w.ask.member).collect();
+    others.sort_unstable();
+    others.dedup();
+    others.retain(|m| *m != ask.member);
+    let before = others.iter().map(|m| {
+        let turns = own * around.catalog.share(*m) / share;
+        waiting_of(desk, ask.rank, *m).min(turns)
+    });
+    urgent + own + before.sum::<f64>()
+}
+
+/// Whether a member has far more waiting than the others for what it is owed.
+pub fn over_share(desk: &Desk, ask: &Ask, around: &Surroundings<'_>) -> bool {
+    let total = same_rank(desk, ask.rank).count() as f64;
+    let mut members: Vec<Id> = same_rank(desk, ask.rank).map(|w| w.ask.member).collect();
+    members.push(ask.member);
+    members.sort_unstable();
+    members.dedup();
+    if members.len() < 2 {
+        return false;
+    }
+    let owed: f64 = members.iter().map(|m| around.catalog.share(*m)).sum();
+    let even = total * around.catalog.share(ask.member) / owed;
+    waiting_of(desk, ask.rank, ask.member) > OVER_SHARE_FACTOR * even
+}
+
+fn same_rank(desk: &Desk, rank: u32) -> impl Iterator<Item = &Waiting> {
+    desk.waiting.iter().filter(move |w| w.ask.rank == rank)
+}
+
+fn waiting_of(desk: &Desk, rank: u32, member: Id) -> f64 {
+    same_rank(desk, rank).filter(|w| w.ask.member == member).count() as f64
+}
--- /dev/null
+++ b/agateroute_core/src/desk.rs
@@ -0,0 +1,460 @@
+//! The admission desk of one backend server, kept by the server's owner.
+//!
+//! The desk queues what asks for the server, permits what fits, and keeps the list of what runs.
+//! See `docs/DESIGN.md`, "Admission across instances".
+
+use agateroute_proto::peers::message::Body;
+use agateroute_proto::peers::{Ask, Deny, DenyReason, Grant, Hold, Release};
+
+use crate::admission;
+use crate::catalog::{Capacity, Catalog};
+use crate::estimate::{Class, Estimator};
+use crate::event::{Report, RequestId};
+use crate::fairness::Counters;
+use crate::id::{Id, Millis};
+use crate::slots::Limit;
+
+/// How long a desk that has no load report admits cautiously, in milliseconds.
+const WARM_UP_MS: Millis = 1_000;
+/// How long an ask is kept beyond its deadline before the desk drops it, in milliseconds.
+const OVERDUE_MS: Millis = 1_000;
+/// The age after which a load report no longer counts, in milliseconds.
+const REPORT_OLD_MS: Millis = 5_000;
+/// The most samples of the desk's own account that are kept to compare with lagging reports.
+const SAMPLES_MOST: usize = 64;
+/// The most members whose counters are kept while idle.
+const COUNTERS_MOST: usize = 4_096;
+/// The steps in which the deviations kept free follow the preemptions that are observed.
+const DEVIATIONS_UP: f32 = 0.5;
+const DEVIATIONS_DOWN: f32 = 0.01;
+/// The most deviations that are kept free.
+const DEVIATIONS_MOST: f32 = 8.0;
+/// The weight of the newest interval in the mean interval between permits.
+const INTERVAL_WEIGHT: f64 = 0.1;
+
+record! {
+    /// A request that waits for a permit.
+    pub struct Waiting {
+        /// The entry instance that asked.
+        pub peer: Id,
+        /// What it asked.
+        pub ask: Ask,
+        /// When its target can no longer be met, on the clock of the desk.
+        pub deadline: Millis,
+        /// When it was queued.
+        pub since: Millis,
+    }
+
+    /// A request that runs under a permit.
+    pub struct Held {
+        /// The entry instance.
+        pub peer: Id,
+        /// The request.
+        pub request: RequestId,
+        /// The class that its length is estimated by.
+        pub class: Class,
+        /// The rank.
+        pub rank: u8,
+        /// The prompt, in tokens.
+        pub prompt: u32,
+        /// The tokens generated, as far as reported.
+        pub tokens: u32,
+        /// The most tokens that the caller wants, 0 where it did not say.
+        pub most: u32,
+        /// What was charged for it so far.
+        pub charged: f64,
+        /// Whether it has to run alone.
+        pub alone: bool,
+    }
+
+    /// The desk of one backend server.
+    pub struct Desk {
+        /// The backend server.
+        pub server: Id,
+        /// What the server can take.
+        pub capacity: Capacity,
+        /// Requests that wait.
+        pub waiting: Vec<Waiting>,
+        /// Requests that run, sorted by peer and request.
+        pub running: Vec<Held>,
+        /// Who goes next.
+        pub counters: Counters,
+        /// The last load report and when it was read.
+        pub report: Option<(Millis, Report)>,
+        /// The standard deviations of memory kept free.
+        pub deviations: f32,
+        /// The adaptive limit of a plain server.
+        pub limit: Limit,
+        /// Whether the server takes no new work.
+        pub closed: bool,
+        /// Whether the owner stands in for one that others may still use.
+        pub acting: bool,
+        /// When the desk was set up.
+        pub since: Millis,
+        samples: Vec<(Millis, u64)>,
+        interval: Option<f64>,
+        granted: Millis,
+    }
+}
+
+/// What a desk needs to know beside its own state.
+#[derive(Clone, Copy)]
+pub struct Surroundings<'a> {
+    /// The document in force.
+    pub catalog: &'a Catalog,
+    /// The estimates of lengths.
+    pub estimator: &'a Estimator,
+    /// The time.
+    pub now: Millis,
+}
+
+/// A message for a peer.
+pub type Reply = (Id, Body);
+
+impl Desk {
+    /// An empty desk.
+    pub fn new(server: Id, capacity: Capacity, deviations: f64, now: Millis) -> Desk {
+        let most = match capacity {
+            Capacity::Engine { batch, .. } => batch,
+            Capacity::Slots(slots) => slots,
+        };
+        Desk {
+            server,
+            capacity,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            counters: Counters::default(),
+            report: None,
+            deviations: deviations as f32,
+            limit: Limit::new(most),
+            closed: false,
+            acting: false,
+            since: now,
+            samples: Vec::new(),
+            interval: None,
+            granted: now,
+        }
+    }
+
+    fn held_at(&self, peer: Id, request: RequestId) -> Result<usize, usize> {
+        self.running.binary_search_by_key(&(peer, request), |h| (h.peer, h.request))
+    }
+
+    /// Queues an ask. Asking again for the same request changes nothing.
+    pub fn ask(&mut self, peer: Id, ask: Ask, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        if let Ok(at) = self.held_at(peer, ask.request) {
+            let request = self.running[at].request;
+            out.push((peer, self.grant_message(request)));
+            return;
+        }
+        if self.waiting.iter().any(|w| w.peer == peer && w.ask.request == ask.request) {
+            return;
+        }
+        if self.closed {
+            out.push((peer, self.deny(&ask, DenyReason::Leaving, 0)));
+            return;
+        }
+        if let Some((reason, retry_ms)) = self.hopeless(&ask, around) {
+            out.push((peer, self.deny(&ask, reason, retry_ms)));
+            return;
+        }
+        self.lift(&ask);
+        let deadline = around.now + u64::from(ask.wait_ms);
+        self.waiting.push(Waiting { peer, ask, deadline, since: around.now });
+        self.pump(around, out);
+    }
+
+    fn lift(&mut self, ask: &Ask) {
+        let rank = ask.rank as u8;
+        let waits = self.waiting.iter().filter(|w| w.ask.rank == ask.rank).map(|w| w.ask.member);
+        let runs = self.running.iter().filter(|h| h.rank == rank).map(|h| h.class.member);
+        let active: Vec<Id> = waits.chain(runs).collect();
+        if !active.contains(&ask.member) {
+            self.counters.lift(rank, ask.member, active.into_iter());
+        }
+    }
+
+    /// Whether the target of an ask can not be met, judged by the pace of permits and by how many
+    /// go first. Returns the reason and when asking again makes sense.
+    fn hopeless(&self, ask: &Ask, around: &Surroundings<'_>) -> Option<(DenyReason, u32)> {
+        let interval = self.interval?;
+        let ahead = admission::ahead(self, ask, around);
+        let predicted = interval * ahead;
+        let wait = f64::from(ask.wait_ms);
+        if predicted <= wait {
+            return None;
+        }
+        let retry_ms = (predicted - wait).clamp(1_000.0, 60_000.0) as u32;
+        Some((self.deny_reason(ask, around), retry_ms))
+    }
+
+    fn deny_reason(&self, ask: &Ask, around: &Surroundings<'_>) -> DenyReason {
+        if admission::over_share(self, ask, around) {
+            DenyReason::OverShare
+        } else {
+            DenyReason::NoRoom
+        }
+    }
+
+    /// Takes back an ask or an unused permit.
+    pub fn withdraw(
+        &mut self,
+        peer: Id,
+        request: RequestId,
+        around: &Surroundings<'_>,
+        out: &mut Vec<Reply>,
+    ) {
+        self.waiting.retain(|w| (w.peer, w.ask.request) != (peer, request));
+        if let Ok(at) = self.held_at(peer, request) {
+            let held = self.running.remove(at);
+            let share = around.catalog.share(held.class.member);
+            self.counters.charge(held.rank, held.class.member, share, -held.charged);
+        }
+        self.pump(around, out);
+    }
+
+    /// Returns a permit after use. Returns the class and length to learn from, where there is one.
+    pub fn release(
+        &mut self,
+        peer: Id,
+        release: &Release,
+        around: &Surroundings<'_>,
+    ) -> Option<(Class, u32)> {
+        let at = self.held_at(peer, release.request).ok()?;
+        let running = self.running.len();
+        let held = self.running.remove(at);
+        let share = around.catalog.share(held.class.member);
+        match self.capacity {
+            Capacity::Engine { .. } => {
+                let work = f64::from(held.prompt) + f64::from(release.tokens);
+                self.counters.charge(held.rank, held.class.member, share, work - held.charged);
+                release.whole.then_some((held.class, release.tokens))
+            }
+            Capacity::Slots(_) => {
+                if release.whole {
+                    self.limit.learn(around.now, release.took_ms, running);
+                } else {
+                    self.limit.shrink(around.now, release.took_ms);
+                }
+                None
+            }
+        }
+    }
+
+    /// Notes the tokens that a running request has generated.
+    pub fn progress(&mut self, peer: Id, request: RequestId, tokens: u32) {
+        if let Ok(at) = self.held_at(peer, request) {
+            let held = &mut self.running[at];
+            held.tokens = held.tokens.max(tokens);
+        }
+    }
+
+    /// Takes over a running request that an entry reports to a new owner.
+    pub fn hold(&mut self, peer: Id, hold: &Hold) {
+        match self.held_at(peer, hold.request) {
+            Ok(at) => self.running[at].tokens = self.running[at].tokens.max(hold.tokens),
+            Err(at) => {
+                let held = Held {
+                    peer,
+                    request: hold.request,
+                    class: Class { model: hold.target, kind: hold.kind, member: hold.member },
+                    rank: hold.rank as u8,
+                    prompt: hold.prompt,
+                    tokens: hold.tokens,
+                    most: 0,
+                    charged: f64::from(hold.prompt),
+                    alone: false,
+                };
+                self.running.insert(at, held);
+            }
+        }
+    }
+
+    /// Forgets what a peer asked, and with `running` also what it runs.
+    pub fn drop_peer(
+        &mut self,
+        peer: Id,
+        running: bool,
+        around: &Surroundings<'_>,
+        out: &mut Vec<Reply>,
+    ) {
+        self.waiting.retain(|w| w.peer != peer);
+        if running {
+            self.running.retain(|h| h.peer != peer);
+        }
+        self.pump(around, out);
+    }
+
+    /// Takes over a load report.
+    pub fn report(&mut self, report: Report, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        let before = self.report.as_ref().map(|(_, r)| r.preemptions);
+        match before {
+            Some(before) if report.preemptions > before => {
+                self.deviations = (self.deviations + DEVIATIONS_UP).min(DEVIATIONS_MOST);
+            }
+            _ => {
+                let least = around.catalog.routing().deviations as f32;
+                self.deviations = (self.deviations - DEVIATIONS_DOWN).max(least);
+            }
+        }
+        self.closed = report.leaving;
+        self.report = Some((around.now, report));
+        self.sample(around.now);
+        self.close_or_pump(around, out);
+    }
+
+    /// Stops giving permits until the server reports again.
+    pub fn close(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        self.closed = true;
+        self.close_or_pump(around, out);
+    }
+
+    fn close_or_pump(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        if !self.closed {
+            self.pump(around, out);
+            return;
+        }
+        for waiting in std::mem::take(&mut self.waiting) {
+            out.push((waiting.peer, self.deny(&waiting.ask, DenyReason::Leaving, 0)));
+        }
+    }
+
+    /// Denies everything that waits, since another instance owns the server now.
+    pub fn hand_over(&mut self, out: &mut Vec<Reply>) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            out.push((waiting.peer, self.deny(&waiting.ask, DenyReason::UnknownServer, 0)));
+        }
+    }
+
+    /// Drops what is overdue and gives permits that time has made room for.
+    pub fn tick(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        let now = around.now;
+        self.waiting.retain(|w| w.deadline + OVERDUE_MS > now);
+        self.counters.fade(now);
+        let (waiting, running) = (&self.waiting, &self.running);
+        self.counters.forget(COUNTERS_MOST, |rank, member| {
+            waiting.iter().any(|w| w.ask.member == member && w.ask.rank == u32::from(rank))
+                || running.iter().any(|h| h.class.member == member && h.rank == rank)
+        });
+        self.sample(now);
+        if self.waiting.is_empty() {
+            self.interval = None;
+        }
+        self.pump(around, out);
+    }
+
+    fn sample(&mut self, now: Millis) {
+        if self.samples.len() >= SAMPLES_MOST {
+            self.samples.remove(0);
+        }
+        self.samples.push((now, self.account()));
+    }
+
+    /// What runs under permits of this desk: tokens in memory, or calls in progress.
+    pub fn account(&self) -> u64 {
+        match self.capacity {
+            Capacity::Engine { .. } => {
+                self.running.iter().map(|h| u64::from(h.prompt) + u64::from(h.tokens)).sum()
+            }
+            Capacity::Slots(_) => self.running.len() as u64,
+        }
+    }
+
+    /// What the server reports beyond everything that this desk has permitted lately: work that
+    /// others started there. Both figures lag, so only a clear excess counts.
+    pub fn foreign(&self, now: Millis) -> u64 {
+        let Some((at, report)) = &self.report else { return 0 };
+        if now.saturating_sub(*at) > REPORT_OLD_MS {
+            return 0;
+        }
+        let from = at.saturating_sub(2 * report.age_ms.max(500));
+        let recent = self.samples.iter().filter(|(t, _)| *t >= from).map(|(_, a)| *a);
+        let own = recent.max().unwrap_or(0).max(self.account());
+        report.used.saturating_sub(own)
+    }
+
+    /// Whether the desk admits only the share that is safe without a full view.
+    pub fn cautious(&self, now: Millis) -> bool {
+        let fresh =
+            self.report.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) <= REPORT_OLD_MS);
+        !fresh && (self.acting || now.saturating_sub(self.since) < WARM_UP_MS)
+    }
+
+    /// The load of the server, in thousandths of what it can take.
+    pub fn pressure(&self) -> u32 {
+        let share = |part: usize, whole: usize| (1000 * part / whole.max(1)) as u32;
+        let used = match self.capacity {
+            Capacity::Engine { memory, batch } => {
+                let filled = share(self.account() as usize, memory as usize);
+                filled.max(share(self.running.len(), batch as usize))
+            }
+            Capacity::Slots(_) => share(self.running.len(), self.limit.allowed()),
+        };
+        used + share(self.waiting.len(), 10)
+    }
+
+    fn grant_message(&self, request: RequestId) -> Body {
+        Body::Grant(Grant { request, server: self.server, pressure: self.pressure() })
+    }
+
+    fn deny(&self, ask: &Ask, reason: DenyReason, retry_ms: u32) -> Body {
+        Body::Deny(Deny {
+            request: ask.request,
+            server: self.server,
+            reason: reason.into(),
+            retry_ms,
+            pressure: self.pressure(),
+        })
+    }
+
+    /// Gives permits, in the order that fairness says, while there is room.
+    pub fn pump(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        while !self.closed {
+            let Some(at) = admission::next(self, around) else { break };
+            if !admission::room(self, &self.waiting[at], around) {
+                break;
+            }
+            let waiting = self.waiting.remove(at);
+            self.permit(waiting, around, out);
+        }
+    }
+
+    fn permit(&mut self, waiting: Waiting, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        let ask = waiting.ask;
+        let class = Class { model: ask.target, kind: ask.kind, member: ask.member };
+        let charged = match self.capacity {
+            Capacity::Engine { .. } => {
+                f64::from(ask.prompt) + admission::expected(around.estimator, class, ask.most)
+            }
+            Capacity::Slots(_) => 1.0,
+        };
+        let rank = ask.rank as u8;
+        self.counters.charge(rank, ask.member, around.catalog.share(ask.member), charged);
+        let held = Held {
+            peer: waiting.peer,
+            request: ask.request,
+            class,
+            rank,
+            prompt: ask.prompt,
+            tokens: 0,
+            most: ask.most,
+            charged,
+            alone: ask.alone,
+        };
+        if let Err(slot) = self.held_at(waiting.peer, ask.request) {
+            self.running.insert(slot, held);
+        }
+        self.pace(waiting.since, around.now);
+        out.push((waiting.peer, self.grant_message(ask.request)));
+    }
+
+    /// Learns the pace of permits while requests wait.
+    fn pace(&mut self, since: Millis, now: Millis) {
+        if since < now {
+            let passed = now.saturating_sub(self.granted.max(since)) as f64;
+            let mean = self.interval.unwrap_or(passed);
+            self.interval = Some(mean + INTERVAL_WEIGHT * (passed - mean));
+        }
+        self.granted = now;
+    }
+}
--- /dev/null
+++ b/agateroute_core/src/entry.rs
@@ -0,0 +1,404 @@
+//! The requests that this instance holds for its callers: those that wait for a permit and those
+//! that run.
+
+use agateroute_proto::peers::message::Body;
+use agateroute_proto::peers::{Ask, Deny, DenyReason, Grant, Hold, Progress, Release, Withdraw};
+
+use crate::Table;
+use crate::catalog::Capacity;
+use crate::effect::{Effect, Refusal};
+use crate::event::{End, RequestId, Sign, Ticket};
+use crate::id::{Id, Millis};
+use crate::rendezvous;
+use crate::state::State;
+use crate::suspect::Standing;
+
+/// How long one owner is asked before another server is asked beside it, in milliseconds. Each
+/// further one comes after twice the time.
+const HEDGE_MS: Millis = 25;
+/// The most servers that are asked at once for one request.
+const ASKS_MOST: usize = 4;
+/// How much busier than the mean the server with the cached prefix may be, in thousandths.
+const PREFIX_SLACK: u32 = 250;
+/// The tokens after which progress is reported to the owner.
+const PROGRESS_TOKENS: u32 = 16;
+/// When asking again makes sense where nothing better is known, in milliseconds.
+const RETRY_MS: u32 = 1_000;
+
+record! {
+    /// A request that waits for a permit.
+    pub struct Pending {
+        /// The request.
+        pub ticket: Ticket,
+        /// Whether it has to run alone.
+        pub alone: bool,
+        /// The servers that were asked for, with the owners that were asked.
+        pub asks: Vec<(Id, Id)>,
+        /// The servers that are not asked for again.
+        pub tried: Vec<Id>,
+        /// When another server is asked for.
+        pub widen: Millis,
+        /// The time between two of those.
+        pub pause: Millis,
+        /// The last reason for which an owner denied.
+        pub denied: Option<(Refusal, u32)>,
+        /// The attempts on backend servers that failed.
+        pub attempts: u32,
+    }
+
+    /// A request that runs under a permit.
+    pub struct Running {
+        /// The request.
+        pub ticket: Ticket,
+        /// The backend server.
+        pub server: Id,
+        /// The owner that gave the permit.
+        pub owner: Id,
+        /// The tokens generated.
+        pub tokens: u32,
+        /// The tokens last reported to the owner.
+        pub reported: u32,
+        /// The attempts that failed before this one.
+        pub attempts: u32,
+        /// The servers that are not asked for again.
+        pub tried: Vec<Id>,
+    }
+}
+
+/// The requests of this instance.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Entry {
+    /// Those that wait, by request.
+    pub pending: Table<RequestId, Pending>,
+    /// Those that run, by request.
+    pub running: Table<RequestId, Running>,
+}
+
+impl State {
+    /// Takes a new request.
+    pub(crate) fn arrive(&mut self, ticket: Ticket) {
+        let percent = self.catalog.routing().retry_percent;
+        self.budget.earn(percent);
+        self.place(ticket, Vec::new(), 0);
+    }
+
+    fn place(&mut self, ticket: Ticket, tried: Vec<Id>, attempts: u32) {
+        let alone = match self.suspects.standing(ticket.fingerprint, self.now) {
+            Standing::Clear => false,
+            Standing::Alone => true,
+            Standing::Quarantined => {
+                self.refuse(ticket.request, Refusal::Quarantined, 0);
+                return;
+            }
+        };
+        let request = ticket.request;
+        let pending = Pending {
+            ticket,
+            alone,
+            asks: Vec::new(),
+            tried,
+            widen: self.now + HEDGE_MS,
+            pause: HEDGE_MS,
+            denied: None,
+            attempts,
+        };
+        self.entry.pending.insert(request, pending);
+        self.ask_next(request);
+    }
+
+    /// Asks for one more server, if there is one. Refuses the request if nothing is asked.
+    fn ask_next(&mut self, request: RequestId) {
+        let Some(pending) = self.entry.pending.get(&request) else { return };
+        if pending.asks.len() >= ASKS_MOST {
+            return;
+        }
+        let ticket = pending.ticket.clone();
+        let excluded: Vec<Id> =
+            pending.tried.iter().copied().chain(pending.asks.iter().map(|a| a.0)).collect();
+        let (alone, idle) = (pending.alone, pending.asks.is_empty());
+        match self.choose(&ticket, &excluded, alone) {
+            Some(server) => self.ask_for(request, server),
+            None if idle => self.give_up(request),
+            None => {}
+        }
+    }
+
+    fn ask_for(&mut self, request: RequestId, server: Id) {
+        let owner = self.owner_of(server);
+        let now = self.now;
+        let Some(pending) = self.entry.pending.get_mut(&request) else { return };
+        pending.asks.push((server, owner));
+        let ticket = &pending.ticket;
+        let ask = Ask {
+            request,
+            server,
+            member: ticket.member,
+            target: ticket.target,
+            kind: ticket.kind,
+            rank: u32::from(ticket.rank),
+            prompt: ticket.prompt,
+            most: ticket.most,
+            wait_ms: ticket.deadline.saturating_sub(now) as u32,
+            alone: pending.alone,
+        };
+        let step = match self.catalog.servers.get(&server).map(|s| s.capacity) {
+            Some(Capacity::Engine { batch, .. }) => 1000 / batch.max(1),
+            Some(Capacity::Slots(slots)) => 1000 / slots.max(1),
+            None => 0,
+        };
+        self.health.add_pressure(server, step);
+        self.send(owner, Body::Ask(ask));
+    }
+
+    /// Picks a server: the one likely to have the prefix cached, unless it is far busier than the
+    /// others, and else the less busy of two drawn at random.
+    fn choose(&mut self, ticket: &Ticket, excluded: &[Id], alone: bool) -> Option<Id> {
+        let runs = self.catalog.targets.get(&ticket.target)?;
+        let usable: Vec<Id> = runs
+            .iter()
+            .copied()
+            .filter(|s| !excluded.contains(s) && self.health.usable(*s, self.now))
+            .collect();
+        if usable.is_empty() {
+            return None;
+        }
+        if alone {
+            return rendezvous::owner(ticket.target, usable.into_iter());
+        }
+        let pressure = |s: Id| self.health.pressure(s);
+        let mean = usable.iter().map(|s| pressure(*s)).sum::<u32>() / usable.len() as u32;
+        let cached = rendezvous::owner(ticket.prefix, usable.iter().copied());
+        if ticket.prefix != 0
+            && let Some(server) = cached
+            && pressure(server) <= mean + PREFIX_SLACK
+        {
+            return Some(server);
+        }
+        let first = usable[self.draw(usable.len())];
+        let second = usable[self.draw(usable.len())];
+        let busier = self.health.pressure(second) < self.health.pressure(first);
+        Some(if busier { second } else { first })
+    }
+
+    pub(crate) fn granted(&mut self, peer: Id, grant: &Grant) {
+        self.health.set_pressure(grant.server, grant.pressure);
+        let (request, server) = (grant.request, grant.server);
+        if let Some(running) = self.entry.running.get(&request)
+            && running.server == server
+            && running.owner == peer
+        {
+            return;
+        }
+        let wanted =
+            self.entry.pending.get(&request).is_some_and(|p| p.asks.contains(&(server, peer)));
+        if !wanted {
+            self.send(peer, Body::Withdraw(Withdraw { request, server }));
+            return;
+        }
+        let Some(pending) = self.entry.pending.remove(&request) else { return };
+        for (other, owner) in &pending.asks {
+            if *other != server {
+                self.send(*owner, Body::Withdraw(Withdraw { request, server: *other }));
+            }
+        }
+        let running = Running {
+            ticket: pending.ticket,
+            server,
+            owner: peer,
+            tokens: 0,
+            reported: 0,
+            attempts: pending.attempts,
+            tried: pending.tried,
+        };
+        self.entry.running.insert(request, running);
+        self.effects.push(Effect::Start { request, server });
+    }
+
+    pub(crate) fn denied(&mut self, peer: Id, deny: &Deny) {
+        self.health.set_pressure(deny.server, deny.pressure);
+        let moved = deny.reason() == DenyReason::UnknownServer;
+        if deny.reason() == DenyReason::Leaving {
+            self.health.leaving(deny.server, self.now);
+        }
+        let owner = self.owner_of(deny.server);
+        let Some(pending) = self.entry.pending.get_mut(&deny.request) else { return };
+        let asked = (deny.server, peer);
+        if !pending.asks.contains(&asked) {
+            return;
+        }
+        pending.asks.retain(|a| *a != asked);
+        if moved && owner != peer {
+            self.ask_for(deny.request, deny.server);
+            return;
+        }
+        pending.tried.push(deny.server);
+        pending.denied = match deny.reason() {
+            DenyReason::NoRoom => Some((Refusal::NoRoom, deny.retry_ms)),
+            DenyReason::OverShare => Some((Refusal::OverShare, deny.retry_ms)),
+            _ => pending.denied,
+        };
+        if pending.asks.is_empty() {
+            self.ask_next(deny.request);
+        }
+    }
+
+    /// Refuses a request that has nothing left to ask for.
+    fn give_up(&mut self, request: RequestId) {
+        let Some(pending) = self.entry.pending.remove(&request) else { return };
+        let (refusal, retry_ms) = match pending.denied {
+            Some(denied) => denied,
+            None if pending.attempts > 0 => (Refusal::Failed, RETRY_MS),
+            None => (Refusal::NoServer, RETRY_MS),
+        };
+        self.refuse(request, refusal, retry_ms);
+    }
+
+    fn refuse(&mut self, request: RequestId, refusal: Refusal, retry_ms: u32) {
+        self.effects.push(Effect::Refuse { request, refusal, retry_ms });
+    }
+
+    /// Forgets a request whose caller went away, also one whose permit came at the same moment.
+    pub(crate) fn abandon(&mut self, request: RequestId) {
+        if let Some(pending) = self.entry.pending.remove(&request) {
+            self.withdraw_all(&pending);
+        }
+        if let Some(running) = self.entry.running.get(&request) {
+            let tokens = running.tokens;
+            self.ended(request, &End::Cancelled { tokens });
+        }
+    }
+
+    fn withdraw_all(&mut self, pending: &Pending) {
+        let request = pending.ticket.request;
+        for (server, owner) in &pending.asks {
+            self.send(*owner, Body::Withdraw(Withdraw { request, server: *server }));
+        }
+    }
+
+    pub(crate) fn progressed(&mut self, request: RequestId, tokens: u32) {
+        let Some(running) = self.entry.running.get_mut(&request) else { return };
+        running.tokens = running.tokens.max(tokens);
+        if running.tokens < running.reported + PROGRESS_TOKENS {
+            return;
+        }
+        running.reported = running.tokens;
+        let (owner, server) = (running.owner, running.server);
+        self.send(owner, Body::Progress(Progress { request, server, tokens }));
+    }
+
+    /// Ends the work on a backend server: returns the permit, notes what was seen of the server,
+    /// and starts the request elsewhere where that is allowed.
+    pub(crate) fn ended(&mut self, request: RequestId, end: &End) {
+        let Some(running) = self.entry.running.remove(&request) else { return };
+        let (tokens, whole, took_ms) = match end {
+            End::Whole { tokens, took_ms } => (*tokens, true, *took_ms),
+            End::Lost { tokens, .. } | End::Cancelled { tokens } => (*tokens, false, 0),
+            End::NotStarted { .. } => (0, false, 0),
+        };
+        let server = running.server;
+        let body = match end {
+            End::NotStarted { .. } => Body::Withdraw(Withdraw { request, server }),
+            _ => Body::Release(Release { request, server, tokens, whole, took_ms }),
+        };
+        self.send(running.owner, body);
+        match end {
+            End::Whole { .. } => self.clear_suspicion(&running.ticket),
+            End::Cancelled { .. } => {}
+            End::NotStarted { sign } => {
+                self.note_sign(server, running.owner, *sign);
+                self.start_again(running, true);
+            }
+            End::Lost { sign, again, .. } => {
+                self.note_sign(server, running.owner, *sign);
+                if *sign == Sign::Crashed {
+                    self.count_crash(&running.ticket);
+                }
+                self.start_again(running, *again);
+            }
+        }
+    }
+
+    fn start_again(&mut self, running: Running, again: bool) {
+        let request = running.ticket.request;
+        let attempts = running.attempts + 1;
+        let in_time = self.now < running.ticket.deadline;
+        let allowed = again && in_time && attempts <= self.catalog.routing().retries;
+        if !allowed || !self.budget.spend() {
+            self.refuse(request, Refusal::Failed, RETRY_MS);
+            return;
+        }
+        let mut tried = running.tried;
+        tried.push(running.server);
+        self.place(running.ticket, tried, attempts);
+    }
+
+    /// Asks for further servers, refuses what can no longer meet its target, and reports what runs
+    /// to owners that have changed.
+    pub(crate) fn tick_entry(&mut self) {
+        let now = self.now;
+        let late: Vec<RequestId> = self.pending_where(|p| p.ticket.deadline <= now);
+        for request in late {
+            if let Some(pending) = self.entry.pending.remove(&request) {
+                self.withdraw_all(&pending);
+                let (refusal, retry_ms) = pending.denied.unwrap_or((Refusal::NoRoom, RETRY_MS));
+                self.refuse(request, refusal, retry_ms);
+            }
+        }
+        let slow: Vec<RequestId> = self.pending_where(|p| p.widen <= now);
+        for request in slow {
+            if let Some(pending) = self.entry.pending.get_mut(&request) {
+                pending.pause *= 2;
+                pending.widen = now + pending.pause;
+            }
+            self.ask_next(request);
+        }
+    }
+
+    fn pending_where(&self, test: impl Fn(&Pending) -> bool) -> Vec<RequestId> {
+        self.entry.pending.iter().filter(|(_, p)| test(p)).map(|(r, _)| *r).collect()
+    }
+
+    /// Turns to the new owners of servers after the membership changed.
+    pub(crate) fn follow_owners(&mut self) {
+        let mut moved = Vec::new();
+        for (request, pending) in self.entry.pending.iter() {
+            for (server, owner) in &pending.asks {
+                if self.owner_of(*server) != *owner {
+                    moved.push((*request, *server, *owner));
+                }
+            }
+        }
+        for (request, server, owner) in moved {
+            if let Some(pending) = self.entry.pending.get_mut(&request) {
+                pending.asks.retain(|a| *a != (server, owner));
+                self.send(owner, Body::Withdraw(Withdraw { request, server }));
+                self.ask_for(request, server);
+            }
+        }
+        self.report_held();
+    }
+
+    fn report_held(&mut self) {
+        let owners: Vec<(RequestId, Id)> =
+            self.entry.running.iter().map(|(r, h)| (*r, self.owner_of(h.server))).collect();
+        for (request, owner) in owners {
+            let Some(running) = self.entry.running.get_mut(&request) else { continue };
+            if running.owner == owner {
+                continue;
+            }
+            running.owner = owner;
+            let ticket = &running.ticket;
+            let hold = Hold {
+                request,
+                server: running.server,
+                member: ticket.member,
+                target: ticket.target,
+                kind: ticket.kind,
+                rank: u32::from(ticket.rank),
+                prompt: ticket.prompt,
+                tokens: running.tokens,
+            };
+            self.send(owner, Body::Hold(hold));
+        }
+    }
+}
--- /dev/null
+++ b/agateroute_core/src/estimate.rs
@@ -0,0 +1,171 @@
+//! Estimates how many tokens a generation still produces.
+//!
+//! Each class (model, member, kind) has a decaying histogram of output lengths. While it has few
+//! samples, it shrinks towards (model, kind) and then the model. See `docs/DESIGN.md`, "Unknown
+//! lengths".
+
+use crate::Table;
+use crate::id::Id;
+
+/// Buckets for each doubling of the length.
+const BUCKETS_PER_OCTAVE: f32 = 4.0;
+/// The number of buckets, which reach 65,536 tokens.
+pub const BUCKETS: usize = 64;
+/// The weight of the parent class, in samples.
+const PARENT_SAMPLES: f32 = 16.0;
+/// Samples after which a histogram is halved, so that it follows changes.
+const HALVE_SAMPLES: f32 = 512.0;
+/// The most classes that are kept; beyond it members share the class of their kind.
+const CLASSES_MOST: usize = 8_192;
+/// Samples between two refreshes of a cached curve.
+const REFRESH_SAMPLES: u32 = 8;
+/// The mean of the prior in octaves: a median of 256 tokens.
+const PRIOR_MEDIAN: f32 = 8.0;
+/// The deviation of the prior, in octaves.
+const PRIOR_DEVIATION: f32 = 2.0;
+
+value! {
+    /// What generations are grouped by. Zero stands for all members or all kinds.
+    pub struct Class {
+        /// The model.
+        pub model: Id,
+        /// The request kind, or 0.
+        pub kind: Id,
+        /// The member, or 0.
+        pub member: Id,
+    }
+}
+
+/// The probability that a length is at least the lower bound of each bucket.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Curve {
+    survival: [f32; BUCKETS + 1],
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Histogram {
+    counts: [f32; BUCKETS],
+    total: f32,
+    fresh: u32,
+    curve: Curve,
+}
+
+/// Histograms of output lengths for all classes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Estimator {
+    classes: Table<Class, Histogram>,
+}
+
+fn bucket_position(length: f32) -> f32 {
+    (length.max(1.0).log2() * BUCKETS_PER_OCTAVE).min(BUCKETS as f32 - 0.001)
+}
+
+impl Curve {
+    /// The prior: lengths spread log-normally around a few hundred tokens.
+    pub fn prior() -> Curve {
+        let mut counts = [0.0; BUCKETS];
+        for (i, count) in counts.iter_mut().enumerate() {
+            let octave = (i as f32 + 0.5) / BUCKETS_PER_OCTAVE;
+            let z = (octave - PRIOR_MEDIAN) / PRIOR_DEVIATION;
+            *count = (-0.5 * z * z).exp();
+        }
+        Curve::from_counts(&counts)
+    }
+
+    fn from_counts(counts: &[f32; BUCKETS]) -> Curve {
+        let total: f32 = counts.iter().sum();
+        let mut survival = [0.0; BUCKETS + 1];
+        for i in (0..BUCKETS).rev() {
+            survival[i] = survival[i + 1] + counts[i] / total;
+        }
+        Curve { survival }
+    }
+
+    /// The probability that a length is at least `length`.
+    pub fn at_least(&self, length: f32) -> f32 {
+        if length <= 1.0 {
+            return 1.0;
+        }
+        let position = bucket_position(length);
+        let bucket = position as usize;
+        let part = position - bucket as f32;
+        self.survival[bucket] * (1.0 - part) + self.survival[bucket + 1] * part
+    }
+
+    /// The probability that a generation which has produced `done` tokens produces `more` beyond.
+    /// Where nothing was ever seen as long, it may go on as long again as it has run.
+    pub fn survives(&self, done: f32, more: f32) -> f32 {
+        let now = self.at_least(done);
+        if now < 1e-4 {
+            return (done / (done + more)).clamp(0.0, 1.0);
+        }
+        (self.at_least(done + more) / now).clamp(0.0, 1.0)
+    }
+
+    /// The expected length, in tokens.
+    pub fn mean(&self) -> f32 {
+        let mut mean = 0.0;
+        for i in 0..BUCKETS {
+            let middle = ((i as f32 + 0.5) / BUCKETS_PER_OCTAVE).exp2();
+            mean += middle * (self.survival[i] - self.survival[i + 1]);
+        }
+        mean
+    }
+}
+
+impl Histogram {
+    fn new(parent: &Curve) -> Histogram {
+        Histogram { counts: [0.0; BUCKETS], total: 0.0, fresh: 0, curve: parent.clone() }
+    }
+
+    fn add(&mut self, length: u32, parent: &Curve) {
+        self.counts[bucket_position(length as f32) as usize] += 1.0;
+        self.total += 1.0;
+        self.fresh += 1;
+        if self.total > HALVE_SAMPLES {
+            self.counts.iter_mut().for_each(|c| *c *= 0.5);
+            self.total *= 0.5;
+        }
+        if self.fresh >= REFRESH_SAMPLES || self.total <= PARENT_SAMPLES {
+            self.refresh(parent);
+        }
+    }
+
+    fn refresh(&mut self, parent: &Curve) {
+        let mut mixed = self.counts;
+        for (i, count) in mixed.iter_mut().enumerate() {
+            *count += PARENT_SAMPLES * (parent.survival[i] - parent.survival[i + 1]);
+        }
+        self.curve = Curve::from_counts(&mixed);
+        self.fresh = 0;
+    }
+}
+
+impl Estimator {
+    /// Learns the length of a generation that ended by itself.
+    pub fn learn(&mut self, class: Class, length: u32) {
+        let whole = Class { kind: 0, member: 0, ..class };
+        let kind = Class { member: 0, ..class };
+        let mut parent = Curve::prior();
+        for level in [whole, kind, class] {
+            if !self.classes.contains(&level) && self.classes.len() >= CLASSES_MOST {
+                return;
+            }
+            let histogram = self.classes.entry(level, || Histogram::new(&parent));
+            histogram.add(length, &parent);
+            parent = histogram.curve.clone();
+        }
+    }
+
+    /// The curve of a class, or of the nearest class above it that is known.
+    pub fn curve(&self, class: Class) -> Option<&Curve> {
+        let kind = Class { member: 0, ..class };
+        let whole = Class { kind: 0, member: 0, ..class };
+        [class, kind, whole].iter().find_map(|c| self.classes.get(c)).map(|h| &h.curve)
+    }
+
+    /// The number of classes that are kept.
+    pub fn classes(&self) -> usize {
+        self.classes.len()
+    }
+}
--- /dev/null
+++ b/agateroute_core/src/event.rs
@@ -0,0 +1,196 @@
+//! The events that the reducer takes.
+
+use std::sync::Arc;
+
+use agateroute_config::Document;
+use agateroute_proto::peers::Claim;
+use agateroute_proto::peers::message::Body;
+
+use crate::id::{Id, Millis};
+use crate::ledger::Transacted;
+use crate::membership::{Listed, Peer};
+
+/// An identifier of a request, unique for one run of one instance.
+pub type RequestId = u64;
+
+record! {
+    /// What is known of a request on arrival.
+    pub struct Ticket {
+        /// The request.
+        pub request: RequestId,
+        /// The member that asks.
+        pub member: Id,
+        /// The model or plain service.
+        pub target: Id,
+        /// The request kind.
+        pub kind: Id,
+        /// The rank, 0 for the most urgent.
+        pub rank: u8,
+        /// The prompt, in tokens; 0 for plain calls.
+        pub prompt: u32,
+        /// The most tokens that the caller wants, 0 where it did not say.
+        pub most: u32,
+        /// A hash of the start of the prompt, 0 where there is none.
+        pub prefix: u64,
+        /// A hash of member, kind and body, which tells a repeated request.
+        pub fingerprint: u64,
+        /// When the target can no longer be met.
+        pub deadline: Millis,
+    }
+
+    /// A load report of a backend server.
+    pub struct Report {
+        /// The memory in use, in tokens; for plain servers the calls in progress.
+        pub used: u64,
+        /// The requests that run.
+        pub running: u32,
+        /// The requests that wait on the server.
+        pub waiting: u32,
+        /// The preemptions since the server started.
+        pub preemptions: u64,
+        /// Whether the server is leaving.
+        pub leaving: bool,
+        /// How old the figures are, in milliseconds.
+        pub age_ms: u64,
+    }
+
+    /// How work on a backend server ended.
+    pub enum End {
+        /// The answer was whole.
+        Whole {
+            /// The tokens generated.
+            tokens: u32,
+            /// How long the server worked on it, in milliseconds.
+            took_ms: u32,
+        },
+        /// The server was not reached, or refused before it ran anything.
+        NotStarted {
+            /// What the attempt told of the server.
+            sign: Sign,
+        },
+        /// The work was lost after the server had begun.
+        Lost {
+            /// The tokens generated.
+            tokens: u32,
+            /// What the attempt told of the server.
+            sign: Sign,
+            /// Whether it may start anew on another server.
+            again: bool,
+        },
+        /// The caller went away, or the instance stopped the work.
+        Cancelled {
+            /// The tokens generated.
+            tokens: u32,
+        },
+    }
+
+    /// Everything that the reducer reacts to.
+    pub enum Event {
+        /// A version of the document came into force.
+        Configured {
+            /// The document.
+            document: Arc<Document>,
+        },
+        /// The platform's list of instances was read.
+        Listed {
+            /// The instances in the list.
+            instances: Vec<Listed>,
+        },
+        /// A stream to a peer was set up.
+        Linked {
+            /// The peer.
+            peer: Peer,
+        },
+        /// Something was heard from a peer.
+        Heard {
+            /// The peer.
+            peer: Id,
+        },
+        /// The stream to a peer ended.
+        Unlinked {
+            /// The peer.
+            peer: Id,
+        },
+        /// A peer sent a message.
+        Received {
+            /// The peer.
+            peer: Id,
+            /// The message.
+            body: Body,
+        },
+        /// A caller sent a request.
+        Arrived(Ticket),
+        /// The caller of a request went away.
+        Abandoned {
+            /// The request.
+            request: RequestId,
+        },
+        /// A running generation went on.
+        Progressed {
+            /// The request.
+            request: RequestId,
+            /// The tokens generated so far.
+            tokens: u32,
+        },
+        /// Work on a backend server ended.
+        Ended {
+            /// The request.
+            request: RequestId,
+            /// How.
+            end: End,
+        },
+        /// A load report was read.
+        Reported {
+            /// The backend server.
+            server: Id,
+            /// The report.
+            report: Report,
+        },
+        /// A load report could not be read.
+        Unreported {
+            /// The backend server.
+            server: Id,
+            /// Whether the connection was refused.
+            refused: bool,
+        },
+        /// The platform says that a backend server is leaving.
+        ServerLeaving {
+            /// The backend server.
+            server: Id,
+        },
+        /// The table service knows a suspect request.
+        SuspectKept {
+            /// The fingerprint.
+            fingerprint: u64,
+            /// The crashes so far.
+            crashes: u32,
+        },
+        /// A call that may not be repeated needs its claim written or settled.
+        ClaimWanted(Claim),
+        /// A transaction of claims came to an end.
+        Transacted {
+            /// The shard.
+            shard: u64,
+            /// What came of it.
+            outcome: Transacted,
+        },
+        /// The instance was told to stop.
+        Leave,
+        /// Time passed.
+        Tick,
+    }
+}
+
+value! {
+    /// What an attempt told of a backend server.
+    pub enum Sign {
+        /// Nothing about the server.
+        Nothing,
+        /// The server refuses connections.
+        Refused,
+        /// The server says that it is leaving.
+        Leaving,
+        /// The server crashed under the request.
+        Crashed,
+    }
+}
--- /dev/null
+++ b/agateroute_core/src/health.rs
@@ -0,0 +1,64 @@
+//! What an entry instance knows of the backend servers that it may ask for.
+
+use crate::Table;
+use crate::id::{Id, Millis};
+
+/// How long a server is left alone after it refused a connection, in milliseconds.
+const REFUSED_MS: Millis = 500;
+/// How long a server that is leaving is not asked for, in milliseconds.
+const LEAVING_MS: Millis = 2_000;
+
+/// What is known of one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Health {
+    avoid: Millis,
+    pressure: u32,
+}
+
+/// What is known of all servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HealthTable {
+    rows: Table<Id, Health>,
+}
+
+impl HealthTable {
+    /// Whether a server should be asked for.
+    pub fn usable(&self, server: Id, now: Millis) -> bool {
+        self.rows.get(&server).is_none_or(|h| h.avoid <= now)
+    }
+
+    /// The load of a server as far as it is known, in thousandths of what it can take.
+    pub fn pressure(&self, server: Id) -> u32 {
+        self.rows.get(&server).map_or(0, |h| h.pressure)
+    }
+
+    /// Takes over the load that an owner reported.
+    pub fn set_pressure(&mut self, server: Id, pressure: u32) {
+        self.rows.entry(server, Health::default).pressure = pressure;
+    }
+
+    /// Counts a request towards the load until its owner reports again.
+    pub fn add_pressure(&mut self, server: Id, pressure: u32) {
+        self.rows.entry(server, Health::default).pressure += pressure;
+    }
+
+    /// Notes that a server refused a connection.
+    pub fn refused(&mut self, server: Id, now: Millis) {
+        self.avoid(server, now + REFUSED_MS);
+    }
+
+    /// Notes that a server is leaving.
+    pub fn leaving(&mut self, server: Id, now: Millis) {
+        self.avoid(server, now + LEAVING_MS);
+    }
+
+    fn avoid(&mut self, server: Id, until: Millis) {
+        let health = self.rows.entry(server, Health::default);
+        health.avoid = health.avoid.max(until);
+    }
+
+    /// Forgets servers that are no longer declared.
+    pub fn keep(&mut self, declared: impl Fn(Id) -> bool) {
+        self.rows.retain(|server, _| declared(*server));
+    }
+}
--- /dev/null
+++ b/agateroute_core/src/lib.rs
@@ -0,0 +1,36 @@
+//! The decisions of agateroute, without I/O.
+//!
+//! [`State::apply`](state::State::apply) is the one reducer over all events: it changes the state
+//! and returns effects as data. It reads no clock, opens no socket and draws its random numbers from
+//! a seeded generator in the state, so that scenarios, fuzzing and the daemon drive the same code.
+//! `docs/DESIGN.md` gives the reasons.
+
+#[macro_use]
+mod derives;
+
+pub mod admission;
+pub mod catalog;
+pub mod desk;
+pub mod effect;
+pub mod entry;
+pub mod estimate;
+pub mod event;
+pub mod fairness;
+pub mod health;
+pub mod id;
+pub mod ledger;
+pub mod membership;
+pub mod memory;
+pub mod relay;
+pub mod rendezvous;
+pub mod retry;
+pub mod slots;
+pub mod state;
+pub mod suspect;
+pub mod table;
+
+pub use effect::Effect;
+pub use event::Event;
+pub use id::{Id, id};
+pub use state::State;
+pub use table::Table;
--- /dev/null
+++ b/agateroute_core/src/state.rs
@@ -0,0 +1,392 @@
+//! The state of an instance and the one reducer over all events.
+
+use std::sync::Arc;
+
+use agateroute_config::Document;
+use agateroute_proto::peers::message::Body;
+use agateroute_proto::peers::{self, Suspect};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::Table;
+use crate::catalog::Catalog;
+use crate::desk::{Desk, Reply, Surroundings};
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::estimate::Estimator;
+use crate::event::{Event, Report, Sign, Ticket};
+use crate::health::HealthTable;
+use crate::id::{Id, Millis};
+use crate::ledger::Ledger;
+use crate::membership::{Membership, Peer};
+use crate::rendezvous;
+use crate::retry::Budget;
+use crate::suspect::Suspects;
+
+/// How long a peer that is neither linked nor listed is remembered, in milliseconds.
+const FORGET_MS: Millis = 30_000;
+/// The silences of a peer after which the permits that it holds are given up.
+const SILENCES_GIVEN_UP: u64 = 5;
+
+/// The state of one instance.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// The time of the last event.
+    pub now: Millis,
+    /// The document in force.
+    pub catalog: Arc<Catalog>,
+    /// The instances.
+    pub membership: Membership,
+    /// The requests of this instance.
+    pub entry: Entry,
+    /// The desks of the backend servers that this instance owns.
+    pub desks: Table<Id, Desk>,
+    /// The claims of calls that may not be repeated.
+    pub ledger: Ledger,
+    /// The estimates of lengths.
+    pub estimator: Estimator,
+    /// The requests under suspicion.
+    pub suspects: Suspects,
+    pub(crate) health: HealthTable,
+    pub(crate) budget: Budget,
+    pub(crate) effects: Vec<Effect>,
+    owners: Vec<Id>,
+    local: Vec<Body>,
+    rng: ChaCha8Rng,
+}
+
+impl State {
+    /// The state of an instance that knows only itself and a document.
+    pub fn new(me: &Peer, document: Arc<Document>, seed: u64) -> State {
+        let membership = Membership::new(me);
+        let mut state = State {
+            now: 0,
+            catalog: Arc::new(Catalog::new(document)),
+            owners: vec![membership.me],
+            membership,
+            entry: Entry::default(),
+            desks: Table::default(),
+            ledger: Ledger::default(),
+            estimator: Estimator::default(),
+            suspects: Suspects::default(),
+            health: HealthTable::default(),
+            budget: Budget::default(),
+            effects: Vec::new(),
+            local: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        state.follow_membership();
+        state
+    }
+
+    /// Applies an event and returns what is to be done about it.
+    pub fn apply(&mut self, now: Millis, event: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        self.handle(event);
+        self.deliver_local();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Configured { document } => self.configure(document),
+            Event::Listed { instances } => {
+                self.membership.set_listed(&instances);
+                self.follow_membership();
+            }
+            Event::Linked { peer } => self.link(&peer),
+            Event::Heard { peer } => self.membership.heard(peer, self.now),
+            Event::Unlinked { peer } => {
+                self.membership.unlinked(peer);
+                self.follow_membership();
+            }
+            Event::Received { peer, body } => {
+                self.membership.heard(peer, self.now);
+                self.receive(peer, body);
+            }
+            Event::Arrived(ticket) => self.arrive(ticket),
+            Event::Abandoned { request } => self.abandon(request),
+            Event::Progressed { request, tokens } => self.progressed(request, tokens),
+            Event::Ended { request, end } => self.ended(request, &end),
+            Event::Reported { server, report } => self.reported(server, report),
+            Event::Unreported { server, refused } => self.unreported(server, refused),
+            Event::ServerLeaving { server } => {
+                self.health.leaving(server, self.now);
+                self.with_desk(server, Desk::close);
+            }
+            Event::SuspectKept { fingerprint, crashes } => {
+                self.suspects.learn(fingerprint, crashes, self.now);
+            }
+            Event::ClaimWanted(claim) => self.want_claim(claim),
+            Event::Transacted { shard, outcome } => self.transacted(shard, outcome),
+            Event::Leave => {
+                self.membership.leave();
+                self.follow_membership();
+            }
+            Event::Tick => self.tick(),
+        }
+    }
+
+    fn configure(&mut self, document: Arc<Document>) {
+        self.catalog = Arc::new(Catalog::new(document));
+        let catalog = self.catalog.clone();
+        self.health.keep(|s| catalog.servers.contains(&s));
+        for (server, desk) in self.desks.iter_mut() {
+            if let Some(info) = catalog.servers.get(server) {
+                desk.capacity = info.capacity;
+            }
+        }
+        self.follow_membership();
+    }
+
+    fn link(&mut self, peer: &Peer) {
+        let restarted = self.membership.linked(peer, self.now);
+        if restarted {
+            let id = peer.id();
+            self.each_desk(|desk, around, out| desk.drop_peer(id, true, around, out));
+        }
+        self.follow_membership();
+        let known: Vec<(u64, u32)> = self.suspects.iter().collect();
+        for (fingerprint, crashes) in known {
+            self.send(peer.id(), Body::Suspect(Suspect { fingerprint, crashes }));
+        }
+    }
+
+    /// Sets up and gives up desks after a change of membership or configuration.
+    fn follow_membership(&mut self) {
+        let silence = self.catalog.routing().peer_ms;
+        self.owners = self.membership.owners(self.now, silence);
+        let me = self.membership.me;
+        let mine: Vec<Id> =
+            self.catalog.servers.keys().copied().filter(|s| self.owner_of(*s) == me).collect();
+        let mut out = Vec::new();
+        self.desks.retain(|server, desk| {
+            let keep = mine.binary_search(server).is_ok();
+            if !keep {
+                desk.hand_over(&mut out);
+            }
+            keep
+        });
+        for server in mine {
+            let first = self.membership.first_owner(server);
+            let Some(info) = self.catalog.servers.get(&server) else { continue };
+            let deviations = self.catalog.routing().deviations;
+            let now = self.now;
+            let desk =
+                self.desks.entry(server, || Desk::new(server, info.capacity, deviations, now));
+            desk.acting = first != Some(me);
+        }
+        self.send_all(out);
+        self.follow_owners();
+        self.follow_shards();
+    }
+
+    /// The instance that owns a backend server, as far as this one sees.
+    pub fn owner_of(&self, server: Id) -> Id {
+        rendezvous::owner(server, self.owners.iter().copied()).unwrap_or(self.membership.me)
+    }
+
+    /// The instances that can own duties, sorted.
+    pub(crate) fn owners(&self) -> &[Id] {
+        &self.owners
+    }
+
+    /// The backend servers whose load this instance has to read.
+    pub fn owned(&self) -> impl Iterator<Item = Id> {
+        self.desks.keys().copied()
+    }
+
+    pub(crate) fn draw(&mut self, below: usize) -> usize {
+        self.rng.random_range(0..below)
+    }
+
+    /// Sends a message, to this instance itself without detour.
+    pub(crate) fn send(&mut self, peer: Id, body: Body) {
+        if peer == self.membership.me {
+            self.local.push(body);
+        } else {
+            self.effects.push(Effect::Send { peer, body });
+        }
+    }
+
+    fn send_all(&mut self, replies: Vec<Reply>) {
+        for (peer, body) in replies {
+            self.send(peer, body);
+        }
+    }
+
+    fn deliver_local(&mut self) {
+        let me = self.membership.me;
+        while !self.local.is_empty() {
+            for body in std::mem::take(&mut self.local) {
+                self.receive(me, body);
+            }
+        }
+    }
+
+    fn receive(&mut self, peer: Id, body: Body) {
+        match body {
+            Body::Ask(ask) => self.receive_ask(peer, ask),
+            Body::Grant(grant) => self.granted(peer, &grant),
+            Body::Deny(deny) => self.denied(peer, &deny),
+            Body::Withdraw(w) => self.with_desk(w.server, |desk, around, out| {
+                desk.withdraw(peer, w.request, around, out);
+            }),
+            Body::Release(release) => self.receive_release(peer, &release),
+            Body::Progress(p) => self.with_desk(p.server, |desk, _, _| {
+                desk.progress(peer, p.request, p.tokens);
+            }),
+            Body::Hold(hold) => self.with_desk(hold.server, |desk, _, _| desk.hold(peer, &hold)),
+            Body::Sign(sign) => self.receive_sign(&sign),
+            Body::Suspect(s) => self.suspects.learn(s.fingerprint, s.crashes, self.now),
+            Body::Claim(claim) => self.queue_claim(peer, claim),
+            Body::ClaimResult(result) => self.claim_result(result),
+            Body::TallyRow(_) => {}
+        }
+    }
+
+    fn receive_ask(&mut self, peer: Id, ask: peers::Ask) {
+        if self.desks.contains(&ask.server) {
+            let server = ask.server;
+            self.with_desk(server, |desk, around, out| desk.ask(peer, ask, around, out));
+            return;
+        }
+        let deny = peers::Deny {
+            request: ask.request,
+            server: ask.server,
+            reason: peers::DenyReason::UnknownServer.into(),
+            retry_ms: 0,
+            pressure: self.health.pressure(ask.server),
+        };
+        self.send(peer, Body::Deny(deny));
+    }
+
+    fn receive_release(&mut self, peer: Id, release: &peers::Release) {
+        let mut learned = None;
+        self.with_desk(release.server, |desk, around, _| {
+            learned = desk.release(peer, release, around);
+        });
+        if let Some((class, length)) = learned {
+            self.estimator.learn(class, length);
+        }
+        self.with_desk(release.server, Desk::pump);
+    }
+
+    fn receive_sign(&mut self, sign: &peers::Sign) {
+        if sign.leaving {
+            self.health.leaving(sign.server, self.now);
+        } else {
+            self.health.refused(sign.server, self.now);
+        }
+        self.with_desk(sign.server, Desk::close);
+    }
+
+    /// Runs a step on one desk and sends what it answers.
+    fn with_desk(
+        &mut self,
+        server: Id,
+        step: impl FnOnce(&mut Desk, &Surroundings<'_>, &mut Vec<Reply>),
+    ) {
+        let mut out = Vec::new();
+        let around =
+            Surroundings { catalog: &self.catalog, estimator: &self.estimator, now: self.now };
+        if let Some(desk) = self.desks.get_mut(&server) {
+            step(desk, &around, &mut out);
+        }
+        self.send_all(out);
+    }
+
+    fn each_desk(&mut self, mut step: impl FnMut(&mut Desk, &Surroundings<'_>, &mut Vec<Reply>)) {
+        let mut out = Vec::new();
+        let around =
+            Surroundings { catalog: &self.catalog, estimator: &self.estimator, now: self.now };
+        for (_, desk) in self.desks.iter_mut() {
+            step(desk, &around, &mut out);
+        }
+        self.send_all(out);
+    }
+
+    fn reported(&mut self, server: Id, report: Report) {
+        if report.leaving {
+            self.health.leaving(server, self.now);
+        }
+        self.with_desk(server, |desk, around, out| desk.report(report, around, out));
+    }
+
+    fn unreported(&mut self, server: Id, refused: bool) {
+        if refused {
+            self.health.refused(server, self.now);
+            self.with_desk(server, Desk::close);
+        }
+    }
+
+    /// Notes what an attempt told of a server and passes it on to the owner.
+    pub(crate) fn note_sign(&mut self, server: Id, owner: Id, sign: Sign) {
+        let leaving = match sign {
+            Sign::Nothing => return,
+            Sign::Leaving => true,
+            Sign::Refused | Sign::Crashed => false,
+        };
+        if leaving {
+            self.health.leaving(server, self.now);
+        } else {
+            self.health.refused(server, self.now);
+        }
+        self.send(owner, Body::Sign(peers::Sign { server, refused: !leaving, leaving }));
+    }
+
+    pub(crate) fn count_crash(&mut self, ticket: &Ticket) {
+        let fingerprint = ticket.fingerprint;
+        let crashes = self.suspects.count(fingerprint, self.now);
+        self.tell_suspect(fingerprint, crashes);
+    }
+
+    pub(crate) fn clear_suspicion(&mut self, ticket: &Ticket) {
+        if self.suspects.crashes(ticket.fingerprint, self.now) > 0 {
+            self.suspects.learn(ticket.fingerprint, 0, self.now);
+            self.tell_suspect(ticket.fingerprint, 0);
+        }
+    }
+
+    fn tell_suspect(&mut self, fingerprint: u64, crashes: u32) {
+        let linked: Vec<Id> =
+            self.membership.peers.iter().filter(|(_, p)| p.linked).map(|(id, _)| *id).collect();
+        for peer in linked {
+            self.send(peer, Body::Suspect(Suspect { fingerprint, crashes }));
+        }
+        self.effects.push(Effect::KeepSuspect { fingerprint, crashes });
+    }
+
+    fn tick(&mut self) {
+        let silence = self.catalog.routing().peer_ms;
+        self.membership.forget(self.now, FORGET_MS);
+        if self.membership.owners(self.now, silence) != self.owners {
+            self.follow_membership();
+        }
+        self.drop_silent(silence, silence * SILENCES_GIVEN_UP);
+        self.tick_entry();
+        self.tick_ledger();
+        self.each_desk(Desk::tick);
+    }
+
+    /// Gives up what peers hold that have been silent for long. Their asks go after one silence.
+    fn drop_silent(&mut self, silence: Millis, long: Millis) {
+        let now = self.now;
+        let silent: Vec<(Id, bool)> = self
+            .membership
+            .peers
+            .iter()
+            .filter(|(id, _)| !self.membership.reachable(**id, now, silence))
+            .map(|(id, p)| (*id, now.saturating_sub(p.heard) > long))
+            .collect();
+        for (peer, running) in silent {
+            self.each_desk(|desk, around, out| {
+                let involved = desk.waiting.iter().any(|w| w.peer == peer)
+                    || (running && desk.running.iter().any(|h| h.peer == peer));
+                if involved {
+                    desk.drop_peer(peer, running, around, out);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/agateroute_core/src/table.rs
@@ -0,0 +1,110 @@
+//! A map as a sorted vector with binary search.
+
+/// A map whose rows are kept sorted by key. It is compact and iterates in order, which keeps the
+/// reducer deterministic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Table<K, V> {
+    rows: Vec<(K, V)>,
+}
+
+impl<K, V> Default for Table<K, V> {
+    fn default() -> Table<K, V> {
+        Table { rows: Vec::new() }
+    }
+}
+
+impl<K: Ord, V> Table<K, V> {
+    /// The number of rows.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether there are no rows.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn find(&self, key: &K) -> Result<usize, usize> {
+        self.rows.binary_search_by(|(k, _)| k.cmp(key))
+    }
+
+    /// The value of a key.
+    pub fn get(&self, key: &K) -> Option<&V> {
+        let at = self.find(key).ok()?;
+        Some(&self.rows[at].1)
+    }
+
+    /// The value of a key, to be changed.
+    pub fn get_mut(&mut self, key: &K) -> Option<&mut V> {
+        let at = self.find(key).ok()?;
+        Some(&mut self.rows[at].1)
+    }
+
+    /// Whether a key has a value.
+    pub fn contains(&self, key: &K) -> bool {
+        self.find(key).is_ok()
+    }
+
+    /// Sets the value of a key and returns the former one.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        match self.find(&key) {
+            Ok(at) => Some(std::mem::replace(&mut self.rows[at].1, value)),
+            Err(at) => {
+                self.rows.insert(at, (key, value));
+                None
+            }
+        }
+    }
+
+    /// The value of a key, made first where it is missing.
+    pub fn entry(&mut self, key: K, make: impl FnOnce() -> V) -> &mut V {
+        let at = match self.find(&key) {
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, (key, make()));
+                at
+            }
+        };
+        &mut self.rows[at].1
+    }
+
+    /// Removes a key and returns its value.
+    pub fn remove(&mut self, key: &K) -> Option<V> {
+        let at = self.find(key).ok()?;
+        Some(self.rows.remove(at).1)
+    }
+
+    /// Keeps the rows that pass a test.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        self.rows.retain_mut(|(k, v)| keep(k, v));
+    }
+
+    /// The rows in the order of their keys.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.rows.iter().map(|(k, v)| (k, v))
+    }
+
+    /// The rows in the order of their keys, with values to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&K, &mut V)> {
+        self.rows.iter_mut().map(|(k, v)| (&*k, v))
+    }
+
+    /// The keys in order.
+    pub fn keys(&self) -> impl Iterator<Item = &K> {
+        self.rows.iter().map(|(k, _)| k)
+    }
+
+    /// The values in the order of their keys.
+    pub fn values(&self) -> impl Iterator<Item = &V> {
+        self.rows.iter().map(|(_, v)| v)
+    }
+}
+
+impl<K: Ord, V> FromIterator<(K, V)> for Table<K, V> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(rows: I) -> Table<K, V> {
+        let mut rows: Vec<(K, V)> = rows.into_iter().collect();
+        rows.sort_by(|a, b| a.0.cmp(&b.0));
+        rows.dedup_by(|a, b| a.0 == b.0);
+        Table { rows }
+    }
+}
--- /dev/null
+++ b/agateroute_platform/src/http.rs
@@ -0,0 +1,87 @@
+//! The pooled HTTP client that all platform calls use.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use crate::error::{Cause, PlatformError};
+
+/// The longest answer that is read, in bytes.
+const ANSWER_MOST: usize = 64 * 1024 * 1024;
+
+/// A request whose body is in memory.
+pub type FullRequest = Request<Full<Bytes>>;
+
+/// A pooled client with a time limit for each call.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// A client that gives each call `timeout`.
+    pub fn new(timeout: Duration) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout));
+        let inner = legacy::Client::builder(TokioExecutor::new()).build(connector);
+        Client { inner, timeout }
+    }
+
+    /// The same client with another time limit.
+    pub fn within(&self, timeout: Duration) -> Client {
+        Client { inner: self.inner.clone(), timeout }
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn call(
+        &self,
+        step: &'static str,
+        peer: &str,
+        request: FullRequest,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let fail = |cause| PlatformError::new(step, peer, cause);
+        match tokio::time::timeout(self.timeout, self.exchange(request)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(cause)) => Err(fail(cause)),
+            Err(_) => Err(fail(Cause::Timeout(self.timeout))),
+        }
+    }
+
+    async fn exchange(&self, request: FullRequest) -> Result<(StatusCode, Bytes), Cause> {
+        let response = self.inner.request(request).await.map_err(|e| {
+            if e.is_connect() { Cause::Connect(e.to_string()) } else { Cause::Lost(e.to_string()) }
+        })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_MOST);
+        let collected = body.collect().await.map_err(|e| Cause::Lost(e.to_string()))?;
+        Ok((status, collected.to_bytes()))
+    }
+}
+
+/// Builds a request to an address.
+pub fn request(method: &str, address: &str, path: &str, body: impl Into<Bytes>) -> FullRequest {
+    let built = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body.into()));
+    built.unwrap_or_default()
+}
+
+/// The error for an answer with an unexpected status.
+pub fn status_cause(status: StatusCode, body: &[u8]) -> Cause {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Cause::Throttled,
+        _ => Cause::Status(
+            status.as_u16(),
+            String::from_utf8_lossy(body).chars().take(200).collect(),
+        ),
+    }
+}
--- /dev/null
+++ b/agateroute_platform/src/manifest.rs
@@ -0,0 +1,131 @@
+//! Splits a document into sections that are stored by digest, so that a change moves only the
+//! sections that it touches. See `docs/DESIGN.md`, "Configuration".
+
+use agateroute_config::Document;
+use agateroute_config::digest::hex_digest;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// The lists that are split into buckets by the name of their entries.
+const SPLIT: [&str; 2] = ["members", "servers"];
+/// The entries up to which such a list stays whole.
+const WHOLE_MOST: usize = 32;
+/// The buckets of a split list.
+const BUCKETS: u64 = 64;
+
+/// Where the parts of a document are.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Manifest {
+    /// The sections.
+    pub sections: Vec<Section>,
+}
+
+/// One top-level key of the document.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Section {
+    /// The key.
+    pub name: String,
+    /// Whether the list is split into buckets by name.
+    pub split: bool,
+    /// The digests of its parts.
+    pub parts: Vec<String>,
+}
+
+/// A part of a document with its digest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The digest of the body.
+    pub digest: String,
+    /// The body, as JSON.
+    pub body: String,
+}
+
+impl Part {
+    /// A part of this content.
+    pub fn new(body: String) -> Part {
+        Part { digest: hex_digest(body.as_bytes()), body }
+    }
+}
+
+/// Splits a document.
+pub fn split(document: &Document) -> Result<(Manifest, Vec<Part>), serde_json::Error> {
+    let value = serde_json::to_value(document)?;
+    let mut manifest = Manifest::default();
+    let mut parts = Vec::new();
+    for (name, section) in value.as_object().into_iter().flatten() {
+        let bodies = section_bodies(name, section);
+        let made: Vec<Part> = bodies.iter().map(|b| Part::new(b.to_string())).collect();
+        manifest.sections.push(Section {
+            name: name.clone(),
+            split: bodies.len() > 1,
+            parts: made.iter().map(|p| p.digest.clone()).collect(),
+        });
+        parts.extend(made);
+    }
+    parts.sort_by(|a, b| a.digest.cmp(&b.digest));
+    parts.dedup();
+    Ok((manifest, parts))
+}
+
+fn section_bodies(name: &str, section: &Value) -> Vec<Value> {
+    match section {
+        Value::Array(items) if SPLIT.contains(&name) && items.len() > WHOLE_MOST => {
+            let mut buckets = vec![Vec::new(); BUCKETS as usize];
+            for item in items {
+                buckets[bucket(item)].push(item.clone());
+            }
+            buckets.into_iter().map(Value::Array).collect()
+        }
+        _ => vec![section.clone()],
+    }
+}
+
+fn entry_name(item: &Value) -> &str {
+    item.get("name").and_then(Value::as_str).unwrap_or_default()
+}
+
+fn bucket(item: &Value) -> usize {
+    let digest = hex_digest(entry_name(item).as_bytes());
+    let number = u64::from_str_radix(&digest[..8], 16).unwrap_or(0);
+    (number % BUCKETS) as usize
+}
+
+/// Puts a document together. `part` finds the body of a digest.
+pub fn join(
+    manifest: &Manifest,
+    part: impl Fn(&str) -> Option<Value>,
+) -> Result<Document, JoinError> {
+    let mut document = Map::new();
+    for section in &manifest.sections {
+        let mut bodies = Vec::new();
+        for digest in &section.parts {
+            let body = part(digest).ok_or_else(|| JoinError::Missing(digest.clone()))?;
+            bodies.push(body);
+        }
+        let value =
+            if section.split { join_lists(bodies) } else { bodies.pop().unwrap_or_default() };
+        document.insert(section.name.clone(), value);
+    }
+    serde_json::from_value(Value::Object(document)).map_err(|e| JoinError::Decode(e.to_string()))
+}
+
+/// Lists that were split come back sorted by name.
+fn join_lists(bodies: Vec<Value>) -> Value {
+    let mut items: Vec<Value> = bodies
+        .into_iter()
+        .flat_map(|b| if let Value::Array(items) = b { items } else { Vec::new() })
+        .collect();
+    items.sort_by(|a, b| entry_name(a).cmp(entry_name(b)));
+    Value::Array(items)
+}
+
+/// Why a document could not be put together.
+#[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
+pub enum JoinError {
+    /// A part is missing.
+    #[display("part {_0} does not exist in the object store")]
+    Missing(#[error(not(source))] String),
+    /// The parts do not make a document.
+    #[display("parts do not make a document: {_0}")]
+    Decode(#[error(not(source))] String),
+}
--- /dev/null
+++ b/agateroute_platform/src/objects.rs
@@ -0,0 +1,73 @@
+//! The object store, in the path-style form of the S3 API.
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use crate::error::{Cause, PlatformError};
+use crate::http::{Client, FullRequest, request, status_cause};
+
+/// The bucket that everything is kept in.
+const BUCKET: &str = "agateroute";
+
+/// The functions that speak an object store's wire format.
+#[derive(Clone, Copy, Debug)]
+pub struct ObjectAdapter {
+    /// Encodes a write of an object.
+    pub put: fn(&str, &str, Bytes) -> FullRequest,
+    /// Encodes a read of an object.
+    pub get: fn(&str, &str) -> FullRequest,
+    /// Decodes the answer to a read.
+    pub read_get: fn(StatusCode, Bytes) -> Result<Option<Bytes>, Cause>,
+}
+
+/// The adapter for the S3 API.
+pub const S3: ObjectAdapter = ObjectAdapter { put: s3_put, get: s3_get, read_get: s3_read_get };
+
+/// An object store at an address.
+#[derive(Clone, Debug)]
+pub struct Objects {
+    /// The wire format.
+    pub adapter: ObjectAdapter,
+    /// The IP address and port.
+    pub address: String,
+    /// The client.
+    pub client: Client,
+}
+
+impl Objects {
+    /// Writes an object.
+    pub async fn put(&self, key: &str, body: impl Into<Bytes>) -> Result<(), PlatformError> {
+        let step = "object write";
+        let request = (self.adapter.put)(&self.address, key, body.into());
+        let (status, answer) = self.client.call(step, &self.address, request).await?;
+        if status.is_success() {
+            return Ok(());
+        }
+        Err(PlatformError::new(step, &self.address, status_cause(status, &answer)))
+    }
+
+    /// Reads an object, if it exists.
+    pub async fn get(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        let step = "object read";
+        let request = (self.adapter.get)(&self.address, key);
+        let (status, body) = self.client.call(step, &self.address, request).await?;
+        let read = (self.adapter.read_get)(status, body);
+        read.map_err(|cause| PlatformError::new(step, &self.address, cause))
+    }
+}
+
+fn s3_put(address: &str, key: &str, body: Bytes) -> FullRequest {
+    request("PUT", address, &format!("/{BUCKET}/{key}"), body)
+}
+
+fn s3_get(address: &str, key: &str) -> FullRequest {
+    request("GET", address, &format!("/{BUCKET}/{key}"), Bytes::new())
+}
+
+fn s3_read_get(status: StatusCode, body: Bytes) -> Result<Option<Bytes>, Cause> {
+    match status {
+        StatusCode::OK => Ok(Some(body)),
+        StatusCode::NOT_FOUND => Ok(None),
+        _ => Err(status_cause(status, &body)),
+    }
+}
--- /dev/null
+++ b/agateroute_platform/src/weights.rs
@@ -0,0 +1,67 @@
+//! The weight store, in the path-style form of the S3 API: what a version of a model weighs.
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use crate::error::{Cause, PlatformError};
+use crate::http::{Client, FullRequest, request, status_cause};
+
+/// The functions that speak a weight store's wire format.
+#[derive(Clone, Copy, Debug)]
+pub struct WeightAdapter {
+    /// Encodes a read of the manifest of a version.
+    pub manifest: fn(&str, &str, &str) -> FullRequest,
+    /// Decodes the manifest.
+    pub read_manifest: fn(StatusCode, &[u8]) -> Result<Option<Weights>, Cause>,
+}
+
+/// What a version of a model weighs.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+pub struct Weights {
+    /// The size, in bytes.
+    pub bytes: u64,
+}
+
+/// The adapter for manifests in the S3 API.
+pub const S3_MANIFEST: WeightAdapter =
+    WeightAdapter { manifest: s3_manifest, read_manifest: s3_read_manifest };
+
+/// A weight store at an address.
+#[derive(Clone, Debug)]
+pub struct WeightStore {
+    /// The wire format.
+    pub adapter: WeightAdapter,
+    /// The IP address and port.
+    pub address: String,
+    /// The client.
+    pub client: Client,
+}
+
+impl WeightStore {
+    /// Reads what a version weighs, if the store has it.
+    pub async fn manifest(
+        &self,
+        model: &str,
+        version: &str,
+    ) -> Result<Option<Weights>, PlatformError> {
+        let step = "weight manifest";
+        let request = (self.adapter.manifest)(&self.address, model, version);
+        let (status, body) = self.client.call(step, &self.address, request).await?;
+        let read = (self.adapter.read_manifest)(status, &body);
+        read.map_err(|cause| PlatformError::new(step, &self.address, cause))
+    }
+}
+
+fn s3_manifest(address: &str, model: &str, version: &str) -> FullRequest {
+    request("GET", address, &format!("/weights/{model}/{version}/manifest.json"), Bytes::new())
+}
+
+fn s3_read_manifest(status: StatusCode, body: &[u8]) -> Result<Option<Weights>, Cause> {
+    match status {
+        StatusCode::OK => {
+            serde_json::from_slice(body).map(Some).map_err(|e| Cause::Decode(e.to_string()))
+        }
+        StatusCode::NOT_FOUND => Ok(None),
+        _ => Err(status_cause(status, body)),
+    }
+}
--- /dev/null
+++ b/agaterouted/src/args.rs
@@ -0,0 +1,46 @@
+//! The command line of the daemon.
+
+use std::path::PathBuf;
+
+use agateroute_config::Settings;
+use bpaf::Bpaf;
+
+/// The agateroute daemon: serves callers from the declared backend servers.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub struct Args {
+    /// The settings of this instance
+    #[bpaf(short, long, argument("FILE"))]
+    pub settings: PathBuf,
+    /// Use this name instead of the one in the settings
+    #[bpaf(long, argument("NAME"))]
+    pub instance: Option<String>,
+    /// Use this address for callers instead of the one in the settings
+    #[bpaf(long, argument("IP:PORT"))]
+    pub listen: Option<String>,
+    /// Use this address for other instances instead of the one in the settings
+    #[bpaf(long, argument("IP:PORT"))]
+    pub peer: Option<String>,
+    /// Use this address for metrics and status instead of the one in the settings
+    #[bpaf(long, argument("IP:PORT"))]
+    pub ops: Option<String>,
+    /// Log this level instead of the one in the settings
+    #[bpaf(long, argument("LEVEL"))]
+    pub level: Option<String>,
+}
+
+impl Args {
+    /// Lays the flags over the settings.
+    pub fn override_settings(&self, settings: &mut Settings) {
+        let lay = |flag: &Option<String>, setting: &mut String| {
+            if let Some(value) = flag {
+                setting.clone_from(value);
+            }
+        };
+        lay(&self.instance, &mut settings.instance);
+        lay(&self.listen, &mut settings.listen);
+        lay(&self.peer, &mut settings.peer);
+        lay(&self.ops, &mut settings.ops);
+        lay(&self.level, &mut settings.telemetry.level);
+    }
+}
--- /dev/null
+++ b/agaterouted/src/body.rs
@@ -0,0 +1,48 @@
+//! Reads bodies of callers within their limits.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::StatusCode;
+use xitca_web::body::{BodyExt, RequestBody};
+
+use crate::error::ApiError;
+
+/// Reads a whole body of at most `most` bytes that has to arrive within `time`.
+pub async fn read_body(
+    mut body: RequestBody,
+    most: u64,
+    time: Duration,
+) -> Result<Bytes, ApiError> {
+    match tokio::time::timeout(time, collect(&mut body, most as usize)).await {
+        Ok(result) => result,
+        Err(_) => Err(ApiError::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            format!("the body did not arrive within {} ms", time.as_millis()),
+        )),
+    }
+}
+
+async fn collect(body: &mut RequestBody, most: usize) -> Result<Bytes, ApiError> {
+    let mut collected = BytesMut::new();
+    while let Some(data) = body.data().await {
+        let data = data.map_err(|e| ApiError::bad_request(format!("body not readable: {e}")))?;
+        if collected.len() + data.len() > most {
+            return Err(ApiError::not_run(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                format!("the body is longer than {most} bytes"),
+            ));
+        }
+        if collected.is_empty() && body_done(body) {
+            return Ok(data);
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
+fn body_done(body: &RequestBody) -> bool {
+    xitca_web::body::Body::is_end_stream(body)
+}
--- /dev/null
+++ b/agaterouted/src/call.rs
@@ -0,0 +1,307 @@
+//! Serves calls of plain services: waits for a permit and passes the call through whole.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use agateroute_config::service::{Call, Service};
+use agateroute_core::catalog::service_id;
+use agateroute_core::event::{End, Sign, Ticket};
+use agateroute_core::id;
+use agateroute_core::id::{id_of_bytes, mix};
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use opentelemetry::Context;
+use opentelemetry::trace::SpanKind;
+use xitca_web::body::{ResponseBody, StreamDataBody};
+use xitca_web::http::WebResponse;
+
+use crate::account::{Account, Ended, Subject};
+use crate::claims;
+use crate::client::client;
+use crate::error::ApiError;
+use crate::front::{Caller, targets};
+use crate::plain::{CallOrder, HTTP, KEY_HEADER, passes};
+use crate::shell::{Admission, Permit, ServerRef, Shell, millis};
+use crate::telemetry::{end_span, inject};
+
+/// A call as the caller sent it.
+#[derive(Debug)]
+pub struct Sent<'a> {
+    /// The method.
+    pub method: &'a Method,
+    /// The service.
+    pub service: &'a str,
+    /// The path below the service.
+    pub path: &'a str,
+    /// The path with the query.
+    pub target: &'a str,
+    /// The header fields.
+    pub headers: &'a HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What came of one attempt on a backend server.
+pub enum Attempt {
+    /// The server answered.
+    Answered(hyper::Response<Incoming>),
+    /// Nothing of the call was run.
+    NotStarted(Sign),
+    /// The server may have run the call.
+    Unknown,
+}
+
+/// Serves one call.
+pub async fn serve(
+    shell: &Arc<Shell>,
+    caller: Caller,
+    sent: Sent<'_>,
+) -> Result<WebResponse, ApiError> {
+    let in_force = caller.in_force.clone();
+    let document = &in_force.document;
+    let missing = || {
+        let message = format!("service {:?} does not exist", sent.service);
+        ApiError::not_run(StatusCode::NOT_FOUND, "service_not_found", message)
+    };
+    let service = document.service(sent.service).ok_or_else(missing)?;
+    let member = caller.member();
+    if !member.services.contains(&service.name) {
+        let message = format!("member {:?} may not call service {:?}", member.name, service.name);
+        return Err(ApiError::not_run(StatusCode::FORBIDDEN, "not_granted", message));
+    }
+    let call = service.call(sent.method.as_str(), sent.path).ok_or_else(|| {
+        let message =
+            format!("service {:?} takes no {} {:?}", service.name, sent.method, sent.path);
+        ApiError::not_run(StatusCode::NOT_FOUND, "call_not_found", message)
+    })?;
+    let rank = &document.ranks[document.rank_index(&call.rank).unwrap_or(0)];
+    let subject = Subject {
+        request: caller.request.clone(),
+        member: member.name.as_str().into(),
+        kind: call.kind.as_str().into(),
+        rank: rank.name.as_str().into(),
+    };
+    let mut account = Account::open(shell, subject, targets(rank), caller.context.clone());
+    let ticket = ticket(shell, &caller, service, call, &sent);
+    if !call.repeatable {
+        let key = check_key(&sent, document.limits.key_bytes as usize);
+        let key = key.inspect_err(|_| account.close(Ended::NotRun))?;
+        return claims::serve(shell, account, service, ticket, &sent, key).await;
+    }
+    repeatable(shell, account, service, ticket, &sent).await
+}
+
+/// The idempotency key that a call which may not be repeated has to carry.
+fn check_key<'a>(sent: &'a Sent<'_>, most: usize) -> Result<&'a str, ApiError> {
+    let value = sent.headers.get(KEY_HEADER);
+    let key = value.and_then(|v| v.to_str().ok()).map(str::trim).filter(|k| !k.is_empty());
+    match key {
+        Some(key) if key.len() <= most => Ok(key),
+        Some(_) => {
+            Err(ApiError::bad_request(format!("Idempotency-Key is longer than {most} bytes")))
+        }
+        None => Err(ApiError::bad_request(
+            "this call may not be repeated and needs the header Idempotency-Key",
+        )),
+    }
+}
+
+fn ticket(
+    shell: &Shell,
+    caller: &Caller,
+    service: &Service,
+    call: &Call,
+    sent: &Sent<'_>,
+) -> Ticket {
+    let document = &caller.in_force.document;
+    let rank = document.rank_index(&call.rank).unwrap_or(0);
+    let member = id(&caller.member().name);
+    let kind = id(&call.kind);
+    let content = mix(id(sent.target), id_of_bytes(&sent.body));
+    Ticket {
+        request: shell.next_request(),
+        member,
+        target: service_id(&service.name),
+        kind,
+        rank: rank as u8,
+        prompt: 0,
+        most: 0,
+        prefix: 0,
+        fingerprint: mix(mix(member, kind), content),
+        deadline: shell.now() + document.ranks[rank].answer_ms,
+    }
+}
+
+/// Serves a call that may run more than once.
+async fn repeatable(
+    shell: &Arc<Shell>,
+    mut account: Account,
+    service: &Service,
+    ticket: Ticket,
+    sent: &Sent<'_>,
+) -> Result<WebResponse, ApiError> {
+    let mut permit = shell.arrive(ticket);
+    let mut began = false;
+    loop {
+        let server = match admitted(shell, &mut permit, &mut account, began).await? {
+            Some(server) => server,
+            None => continue,
+        };
+        let started = Instant::now();
+        match attempt(shell, &server, service, sent, &account, None).await {
+            Attempt::Answered(response) => {
+                return Ok(pass_answer(response, permit, account, started));
+            }
+            Attempt::NotStarted(sign) => permit.end(End::NotStarted { sign }),
+            Attempt::Unknown => {
+                began = true;
+                permit.end(End::Lost { tokens: 0, sign: Sign::Nothing, again: true });
+            }
+        }
+    }
+}
+
+/// Waits for a permit. Returns none where the server is no longer declared.
+pub async fn admitted(
+    shell: &Arc<Shell>,
+    permit: &mut Permit,
+    account: &mut Account,
+    began: bool,
+) -> Result<Option<ServerRef>, ApiError> {
+    let queue = shell.telemetry.span("queue", SpanKind::Internal, &account.context);
+    match permit.admission().await {
+        Admission::Start(server) => {
+            end_span(&queue, "granted");
+            let found = shell.in_force().servers.get(&server).cloned();
+            match &found {
+                Some(server) => account.started(&server.name),
+                None => permit.end(End::NotStarted { sign: Sign::Nothing }),
+            }
+            Ok(found)
+        }
+        Admission::Refuse(..) if began => {
+            end_span(&queue, "refused");
+            account.close(Ended::Unknown);
+            Err(ApiError::unknown("a backend server got the call and did not answer"))
+        }
+        Admission::Refuse(refusal, retry_ms) => {
+            end_span(&queue, "refused");
+            account.close(Ended::NotRun);
+            Err(ApiError::refused(refusal, retry_ms))
+        }
+    }
+}
+
+/// Makes one attempt on a backend server.
+pub async fn attempt(
+    shell: &Arc<Shell>,
+    server: &ServerRef,
+    service: &Service,
+    sent: &Sent<'_>,
+    account: &Account,
+    fencing: Option<u64>,
+) -> Attempt {
+    let connect = millis(shell.in_force().document.routing.connect_ms);
+    let granted = shell.telemetry.span("permit", SpanKind::Internal, &account.context);
+    let context = shell.telemetry.span("backend server", SpanKind::Client, &granted);
+    let order = CallOrder {
+        method: sent.method,
+        path: sent.target,
+        headers: sent.headers,
+        body: &sent.body,
+        member: &account.subject.member,
+        fencing,
+    };
+    let mut request = (HTTP.call)(&server.address, &order);
+    inject(&context, request.headers_mut());
+    let answer = client(connect).request(request);
+    let result = tokio::time::timeout(millis(service.timeout_ms), answer).await;
+    let attempt = judge(result);
+    finish_spans(&granted, &context, &attempt);
+    attempt
+}
+
+fn finish_spans(granted: &Context, context: &Context, attempt: &Attempt) {
+    let outcome = match attempt {
+        Attempt::Answered(_) => "answered",
+        Attempt::NotStarted(_) => "not started",
+        Attempt::Unknown => "unknown",
+    };
+    end_span(context, outcome);
+    end_span(granted, "used");
+}
+
+type Exchange = Result<
+    Result<hyper::Response<Incoming>, hyper_util::client::legacy::Error>,
+    tokio::time::error::Elapsed,
+>;
+
+/// A server that refuses with 503 says that it has not run the call.
+fn judge(result: Exchange) -> Attempt {
+    match result {
+        Ok(Ok(response)) if response.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            Attempt::NotStarted(Sign::Leaving)
+        }
+        Ok(Ok(response)) => Attempt::Answered(response),
+        Ok(Err(e)) if e.is_connect() => Attempt::NotStarted(Sign::Refused),
+        Ok(Err(_)) | Err(_) => Attempt::Unknown,
+    }
+}
+
+/// An answer on its way to the caller.
+struct Passing {
+    body: Incoming,
+    permit: Permit,
+    account: Account,
+    started: Instant,
+}
+
+impl Passing {
+    async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Some(Err(e)) => {
+                    self.permit.end(End::Lost { tokens: 0, sign: Sign::Nothing, again: false });
+                    self.account.close(Ended::Partial);
+                    return Some(Err(std::io::Error::other(e)));
+                }
+                None => {
+                    let took_ms = self.started.elapsed().as_millis() as u32;
+                    self.permit.end(End::Whole { tokens: 0, took_ms });
+                    self.account.close_answer();
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+fn pass_answer(
+    response: hyper::Response<Incoming>,
+    permit: Permit,
+    account: Account,
+    started: Instant,
+) -> WebResponse {
+    let (head, body) = response.into_parts();
+    let passing = Passing { body, permit, account, started };
+    let bytes = stream::unfold(passing, async |mut passing| {
+        let next = passing.next().await?;
+        Some((next, passing))
+    });
+    let mut response = WebResponse::new(ResponseBody::boxed(StreamDataBody::new(bytes)));
+    *response.status_mut() = head.status;
+    for (name, value) in &head.headers {
+        if passes(name.as_str()) {
+            response.headers_mut().append(name.clone(), value.clone());
+        }
+    }
+    response
+}
--- /dev/null
+++ b/agaterouted/src/claims.rs
@@ -0,0 +1,304 @@
+//! Serves calls that may not be repeated: claims the key, sends the call once, records the answer,
+//! and replays it to a repeat. See `docs/DESIGN.md`, "At most once".
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use agateroute_config::digest::hex_digest;
+use agateroute_config::service::Service;
+use agateroute_core::event::{End, Sign, Ticket};
+use agateroute_proto::peers::{Claim, ClaimOutcome};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+use xitca_web::body::ResponseBody;
+use xitca_web::http::WebResponse;
+
+use crate::account::{Account, Ended};
+use crate::call::{Attempt, Sent, admitted, attempt};
+use crate::error::ApiError;
+use crate::plain::passes;
+use crate::record::{Answer, CallRecord, CallState, row_name, settled_tag};
+use crate::shell::{Shell, millis};
+
+/// The header on a replayed answer.
+const REPLAYED_HEADER: &str = "idempotent-replayed";
+/// How long an attempt may last beyond its target and the time limit of its service.
+const MARGIN: Duration = Duration::from_secs(5);
+/// How long a record is tried to be written before it is given up.
+const SETTLE_TIME: Duration = Duration::from_secs(900);
+/// The pause between two looks at a claim that is in progress.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// The longest answer that is recorded, in bytes.
+const ANSWER_MOST: usize = 256 * 1024;
+
+/// A whole answer.
+type Whole = (StatusCode, HeaderMap, Bytes);
+
+/// A call with everything that outlives its caller's connection.
+struct Owned {
+    shell: Arc<Shell>,
+    account: Account,
+    service: Service,
+    ticket: Ticket,
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    row: String,
+    record: CallRecord,
+}
+
+/// Serves one call. The work goes on if the caller goes away, so that its outcome is recorded.
+pub async fn serve(
+    shell: &Arc<Shell>,
+    account: Account,
+    service: &Service,
+    ticket: Ticket,
+    sent: &Sent<'_>,
+    key: &str,
+) -> Result<WebResponse, ApiError> {
+    let member = &account.subject.member;
+    let digest = hex_digest(&[sent.method.as_str(), " ", sent.target, "\n"].concat().into_bytes());
+    let digest = hex_digest(&[digest.as_bytes(), &sent.body].concat());
+    let now = unix_millis();
+    let in_force = shell.in_force();
+    let rank = in_force.document.ranks.get(usize::from(ticket.rank));
+    let waits = rank.map_or(0, |r| r.answer_ms) + service.timeout_ms;
+    let record = CallRecord {
+        state: CallState::Open,
+        attempt: format!("{:032x}", rand::random::<u128>()),
+        digest,
+        member: member.to_string(),
+        service: service.name.clone(),
+        kind: account.subject.kind.to_string(),
+        key: key.to_owned(),
+        instance: shell.me.name.clone(),
+        at: now,
+        until: now + waits + MARGIN.as_millis() as u64,
+        answer: None,
+    };
+    let call = Owned {
+        shell: shell.clone(),
+        row: row_name(member, &service.name, key),
+        account,
+        service: service.clone(),
+        ticket,
+        method: sent.method.clone(),
+        path: sent.target.to_owned(),
+        headers: sent.headers.clone(),
+        body: sent.body.clone(),
+        record,
+    };
+    let (sender, answer) = oneshot::channel();
+    tokio::spawn(async move {
+        let _ = sender.send(call.run().await);
+    });
+    let lost = |_| Err(ApiError::unknown("the call ended without an answer"));
+    let (status, headers, body) = answer.await.unwrap_or_else(lost)?;
+    let mut response = WebResponse::new(ResponseBody::from(body));
+    *response.status_mut() = status;
+    response.headers_mut().extend(headers);
+    Ok(response)
+}
+
+/// Milliseconds since 1970.
+pub fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+impl Owned {
+    async fn run(mut self) -> Result<Whole, ApiError> {
+        let result = self.claimed().await;
+        if let Err(error) = &result {
+            let ended = match error.outcome {
+                crate::error::Outcome::NotRun => Ended::NotRun,
+                crate::error::Outcome::Partial => Ended::Partial,
+                crate::error::Outcome::Unknown => Ended::Unknown,
+            };
+            self.account.close(ended);
+        } else {
+            self.account.close_answer();
+        }
+        result
+    }
+
+    /// Claims the key, or replays what stands there.
+    async fn claimed(&mut self) -> Result<Whole, ApiError> {
+        let in_force = self.shell.in_force();
+        let routing = &in_force.document.routing;
+        let patience = Instant::now() + millis(routing.repeat_ms);
+        let mut replaces = String::new();
+        loop {
+            let claim = self.claim(&replaces, false, routing.claim_ms as u32);
+            let (outcome, standing) = self.shell.claim(claim).await;
+            match outcome {
+                ClaimOutcome::Won => return self.execute().await,
+                ClaimOutcome::Lost => {}
+                ClaimOutcome::Unavailable | ClaimOutcome::Unspecified => {
+                    self.settle(CallState::NotRun, None);
+                    return Err(unavailable());
+                }
+            }
+            let Ok(found) = serde_json::from_str::<CallRecord>(&standing) else {
+                return Err(ApiError::unknown("the record of this key can not be read"));
+            };
+            if found.digest != self.record.digest {
+                let message = "this Idempotency-Key was used for another request";
+                let status = StatusCode::UNPROCESSABLE_ENTITY;
+                return Err(ApiError::not_run(status, "key_reused", message));
+            }
+            match found.state {
+                CallState::Answered => return replay(found.answer.as_ref()),
+                CallState::Unknown => return Err(outcome_unknown()),
+                CallState::NotRun => replaces = settled_tag(&found.attempt),
+                CallState::Open if unix_millis() > found.until => return Err(outcome_unknown()),
+                CallState::Open if Instant::now() > patience => return Err(in_progress()),
+                CallState::Open => {
+                    replaces.clear();
+                    tokio::time::sleep(LOOK_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn claim(&self, replaces: &str, settle: bool, wait_ms: u32) -> Claim {
+        Claim {
+            request: self.shell.next_request(),
+            row: self.row.clone(),
+            attempt: self.record.attempt.clone(),
+            digest: self.record.digest.clone(),
+            record: serde_json::to_string(&self.record).unwrap_or_default(),
+            settle,
+            replaces: replaces.to_owned(),
+            wait_ms,
+        }
+    }
+
+    /// Writes what became of the call. The write goes on after the caller has its answer.
+    fn settle(&mut self, state: CallState, answer: Option<Answer>) -> SettleHandle {
+        self.record.state = state;
+        self.record.answer = answer;
+        let claim = self.claim("", true, SETTLE_TIME.as_millis() as u32);
+        let shell = self.shell.clone();
+        let row = self.row.clone();
+        SettleHandle(tokio::spawn(async move {
+            let (outcome, _) = shell.claim(claim).await;
+            if outcome == ClaimOutcome::Unavailable {
+                spdlog::error!("record_not_written", kv: { row: = row.as_str() });
+            }
+        }))
+    }
+
+    /// Sends the call once and records what came of it.
+    async fn execute(&mut self) -> Result<Whole, ApiError> {
+        let mut permit = self.shell.arrive(self.ticket.clone());
+        loop {
+            let server = match admitted(&self.shell, &mut permit, &mut self.account, false).await {
+                Ok(Some(server)) => server,
+                Ok(None) => continue,
+                Err(error) => {
+                    self.settle(CallState::NotRun, None);
+                    return Err(error);
+                }
+            };
+            let started = Instant::now();
+            let sent = Sent {
+                method: &self.method,
+                service: &self.service.name,
+                path: &self.path,
+                target: &self.path,
+                headers: &self.headers,
+                body: self.body.clone(),
+            };
+            let tried = attempt(&self.shell, &server, &self.service, &sent, &self.account, None);
+            match tried.await {
+                Attempt::NotStarted(sign) => permit.end(End::NotStarted { sign }),
+                Attempt::Unknown => {
+                    permit.end(End::Lost { tokens: 0, sign: Sign::Nothing, again: false });
+                    return self.unknown().await;
+                }
+                Attempt::Answered(response) => {
+                    let limit = millis(self.service.timeout_ms);
+                    let read = tokio::time::timeout(limit, read_answer(response)).await;
+                    let Ok(Some((status, headers, body))) = read else {
+                        permit.end(End::Lost { tokens: 0, sign: Sign::Nothing, again: false });
+                        return self.unknown().await;
+                    };
+                    let took_ms = started.elapsed().as_millis() as u32;
+                    permit.end(End::Whole { tokens: 0, took_ms });
+                    return self.answered(status, headers, body).await;
+                }
+            }
+        }
+    }
+
+    async fn unknown(&mut self) -> Result<Whole, ApiError> {
+        let handle = self.settle(CallState::Unknown, None);
+        handle.wait(self.claim_time()).await;
+        Err(outcome_unknown())
+    }
+
+    async fn answered(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Whole, ApiError> {
+        let handle = self.settle(CallState::Answered, Some(Answer::new(status, &headers, &body)));
+        handle.wait(self.claim_time()).await;
+        Ok((status, headers, body))
+    }
+
+    fn claim_time(&self) -> Duration {
+        millis(self.shell.in_force().document.routing.claim_ms)
+    }
+}
+
+/// A record that is being written.
+struct SettleHandle(tokio::task::JoinHandle<()>);
+
+impl SettleHandle {
+    /// Waits for the write, but not longer than the caller should.
+    async fn wait(self, time: Duration) {
+        let _ = tokio::time::timeout(time, self.0).await;
+    }
+}
+
+async fn read_answer(response: hyper::Response<Incoming>) -> Option<Whole> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, ANSWER_MOST).collect().await.ok()?.to_bytes();
+    let kept = head.headers.iter().filter(|(n, _)| passes(n.as_str()));
+    let headers = kept.map(|(n, v)| (n.clone(), v.clone())).collect();
+    Some((head.status, headers, body))
+}
+
+fn replay(recorded: Option<&Answer>) -> Result<Whole, ApiError> {
+    let Some((status, mut headers, body)) = recorded.and_then(Answer::parts) else {
+        return Err(ApiError::unknown("the recorded answer can not be read"));
+    };
+    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+    Ok((status, headers, body))
+}
+
+fn unavailable() -> ApiError {
+    let message = "calls that may not be repeated can not be claimed at present";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut error = ApiError::not_run(status, "claims_unavailable", message);
+    error.retry_ms = 1_000;
+    error
+}
+
+fn outcome_unknown() -> ApiError {
+    ApiError::unknown("a backend server got this call and did not answer; it is never repeated")
+}
+
+fn in_progress() -> ApiError {
+    let mut error = ApiError::unknown("a call with this Idempotency-Key is still in progress");
+    error.status = StatusCode::CONFLICT;
+    error.code = "in_progress";
+    error.retry_ms = 1_000;
+    error
+}
--- /dev/null
+++ b/agaterouted/src/client.rs
@@ -0,0 +1,40 @@
+//! The pooled HTTP clients towards backend servers.
+//!
+//! Each worker thread has its own clients, so that tokens cross no thread on their way.
+
+use std::cell::OnceCell;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// A client for requests whose bodies are in memory.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// How long an idle connection to a backend server is kept.
+const IDLE: Duration = Duration::from_secs(30);
+/// The most idle connections to one backend server that a worker keeps.
+const IDLE_MOST: usize = 256;
+
+thread_local! {
+    static CLIENT: OnceCell<HttpClient> = const { OnceCell::new() };
+}
+
+/// The client of this worker. `connect` counts for the first call on each worker.
+pub fn client(connect: Duration) -> HttpClient {
+    CLIENT.with(|c| c.get_or_init(|| new_client(connect)).clone())
+}
+
+fn new_client(connect: Duration) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(connect));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE)
+        .pool_max_idle_per_host(IDLE_MOST)
+        .build(connector)
+}
--- /dev/null
+++ b/agaterouted/src/front.rs
@@ -0,0 +1,262 @@
+//! The front towards callers: limits, keys, and the way to each handler.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use agateroute_config::limits::Limits;
+use agateroute_config::member::Member;
+use agateroute_config::rank::Rank;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use opentelemetry::Context;
+use opentelemetry::trace::SpanKind;
+use serde_json::json;
+use xitca_web::body::{RequestBody, ResponseBody};
+use xitca_web::http::{RequestExt, WebRequest, WebResponse};
+
+use crate::account::Targets;
+use crate::auth::bearer;
+use crate::body::read_body;
+use crate::call::{self, Sent};
+use crate::error::ApiError;
+use crate::generation::{self, json_response};
+use crate::shell::{InForce, Shell, millis};
+use crate::telemetry::{end_span, extract};
+
+/// The header that names a request in logs and answers.
+const REQUEST_HEADER: &str = "x-request-id";
+/// The longest request id that is taken over from a caller.
+const REQUEST_ID_MOST: usize = 128;
+/// The path below which plain services are.
+const SERVICES_PATH: &str = "/v1/services/";
+
+/// The member that a request is from.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The document that the request is served by.
+    pub in_force: Arc<InForce>,
+    /// The request id.
+    pub request: Arc<str>,
+    /// The trace.
+    pub context: Context,
+    position: usize,
+}
+
+impl Caller {
+    /// The member.
+    pub fn member(&self) -> &Member {
+        &self.in_force.document.members[self.position]
+    }
+}
+
+/// Serves one request of a caller. Whatever happens, the caller gets an answer.
+pub async fn handle(shell: Arc<Shell>, request: WebRequest) -> Result<WebResponse, Infallible> {
+    let id = request_id(request.headers());
+    let parent = extract(request.headers());
+    let context = shell.telemetry.span("caller", SpanKind::Server, &parent);
+    let answer = route(&shell, request, id.clone(), context.clone()).await;
+    let mut response = answer.unwrap_or_else(|e| {
+        end_span(&context, e.code);
+        spdlog::info!("request_refused", kv: {
+            request: = &*id,
+            status = e.status.as_u16(),
+            code = e.code,
+            outcome = e.outcome.as_str(),
+        });
+        e.to_response(&id)
+    });
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    if shell.leaving() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+fn request_id(headers: &HeaderMap) -> Arc<str> {
+    let given = headers.get(REQUEST_HEADER).and_then(|v| v.to_str().ok());
+    match given {
+        Some(id) if !id.is_empty() && id.len() <= REQUEST_ID_MOST => id.into(),
+        _ => format!("{:032x}", rand::random::<u128>()).into(),
+    }
+}
+
+async fn route(
+    shell: &Arc<Shell>,
+    request: WebRequest,
+    id: Arc<str>,
+    context: Context,
+) -> Result<WebResponse, ApiError> {
+    let (head, ext) = request.into_parts();
+    let body = take_body(ext);
+    let path = head.uri.path();
+    match path {
+        "/livez" => return Ok(text(StatusCode::OK, "live\n")),
+        "/readyz" => return Ok(readiness(shell)),
+        _ => {}
+    }
+    let in_force = shell.in_force();
+    if !shell.configured() {
+        let message = "no configuration is in force yet";
+        return Err(unavailable("not_ready", message));
+    }
+    check_head(&in_force.document.limits, &head.headers)?;
+    let caller = identify(in_force, &head.headers, id, context)?;
+    let method = &head.method;
+    match path {
+        "/v1/models" => {
+            check_method(method, &Method::GET)?;
+            Ok(json_response(&models(&caller)))
+        }
+        "/v1/chat/completions" | "/v1/completions" => {
+            check_method(method, &Method::POST)?;
+            let body = read(&caller, body).await?;
+            let chat = path == "/v1/chat/completions";
+            generation::serve(shell, caller, &head.headers, chat, body).await
+        }
+        _ => match path.strip_prefix("/v1/models/") {
+            Some(model) => {
+                check_method(method, &Method::GET)?;
+                one_model(&caller, model)
+            }
+            None => service(shell, caller, &head, body).await,
+        },
+    }
+}
+
+fn take_body(ext: RequestExt<RequestBody>) -> RequestBody {
+    ext.replace_body(()).1
+}
+
+async fn read(caller: &Caller, body: RequestBody) -> Result<bytes::Bytes, ApiError> {
+    let limits = &caller.in_force.document.limits;
+    read_body(body, limits.body_bytes, millis(limits.body_ms)).await
+}
+
+async fn service(
+    shell: &Arc<Shell>,
+    caller: Caller,
+    head: &http::request::Parts,
+    body: RequestBody,
+) -> Result<WebResponse, ApiError> {
+    let path = head.uri.path();
+    let Some(rest) = path.strip_prefix(SERVICES_PATH) else {
+        let message = format!("path {path:?} does not exist");
+        return Err(ApiError::not_run(StatusCode::NOT_FOUND, "path_not_found", message));
+    };
+    let (service, below) = rest.split_once('/').unwrap_or((rest, ""));
+    let target = match head.uri.query() {
+        Some(query) => format!("{below}?{query}"),
+        None => below.to_owned(),
+    };
+    let body = read(&caller, body).await?;
+    let sent = Sent {
+        method: &head.method,
+        service,
+        path: below,
+        target: &target,
+        headers: &head.headers,
+        body,
+    };
+    call::serve(shell, caller, sent).await
+}
+
+fn check_head(limits: &Limits, headers: &HeaderMap) -> Result<(), ApiError> {
+    let bytes: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+    if headers.len() > limits.header_count as usize || bytes as u64 > limits.header_bytes {
+        return Err(ApiError::not_run(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "headers_too_large",
+            format!(
+                "more than {} header fields or {} bytes of them",
+                limits.header_count, limits.header_bytes
+            ),
+        ));
+    }
+    Ok(())
+}
+
+fn check_method(method: &Method, wanted: &Method) -> Result<(), ApiError> {
+    if method == wanted {
+        return Ok(());
+    }
+    let message = format!("this path takes {wanted}, not {method}");
+    Err(ApiError::not_run(StatusCode::METHOD_NOT_ALLOWED, "method_not_allowed", message))
+}
+
+fn identify(
+    in_force: Arc<InForce>,
+    headers: &HeaderMap,
+    request: Arc<str>,
+    context: Context,
+) -> Result<Caller, ApiError> {
+    let key = headers.get(header::AUTHORIZATION).and_then(|v| bearer(v.as_bytes()));
+    let position = key.and_then(|k| in_force.keys.find(k));
+    let position = position.ok_or_else(|| {
+        let message = "the bearer key is missing or names no member";
+        ApiError::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message)
+    })?;
+    Ok(Caller { in_force, request, context, position })
+}
+
+fn models(caller: &Caller) -> serde_json::Value {
+    let names = model_names(caller);
+    let data: Vec<_> = names.iter().map(|n| model_json(caller, n)).collect();
+    json!({"object": "list", "data": data})
+}
+
+/// The models that a member may use, with their adapters.
+fn model_names(caller: &Caller) -> Vec<String> {
+    let document = &caller.in_force.document;
+    let granted = caller.member().models.iter().filter_map(|m| document.model(m));
+    let names = granted.flat_map(|m| {
+        let adapters = m.adapters.iter().map(|a| format!("{}:{}", m.name, a.name));
+        std::iter::once(m.name.clone()).chain(adapters)
+    });
+    names.collect()
+}
+
+fn model_json(caller: &Caller, name: &str) -> serde_json::Value {
+    let owner = &caller.in_force.document.deployment;
+    json!({"id": name, "object": "model", "created": 0, "owned_by": owner})
+}
+
+fn one_model(caller: &Caller, name: &str) -> Result<WebResponse, ApiError> {
+    if model_names(caller).iter().any(|n| n == name) {
+        return Ok(json_response(&model_json(caller, name)));
+    }
+    let message = format!("model {name:?} does not exist");
+    Err(ApiError::not_run(StatusCode::NOT_FOUND, "model_not_found", message))
+}
+
+fn readiness(shell: &Shell) -> WebResponse {
+    if shell.ready() {
+        text(StatusCode::OK, "ready\n")
+    } else {
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+fn unavailable(code: &'static str, message: &str) -> ApiError {
+    let mut error = ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message);
+    error.retry_ms = 1_000;
+    error
+}
+
+/// An answer with a plain text.
+pub fn text(status: StatusCode, text: impl Into<String>) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::from(text.into()));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response
+}
+
+/// The targets of a rank.
+pub fn targets(rank: &Rank) -> Targets {
+    Targets {
+        first: millis(rank.first_token_ms),
+        between: millis(rank.between_tokens_ms),
+        answer: millis(rank.answer_ms),
+    }
+}
--- /dev/null
+++ b/agaterouted/src/generation.rs
@@ -0,0 +1,400 @@
+//! Serves generations: checks a request, waits for its permit, and passes its answer on.
+
+use std::sync::Arc;
+
+use agateroute_config::Document;
+use agateroute_core::catalog::model_id;
+use agateroute_core::event::{End, Sign, Ticket};
+use agateroute_core::id::{id_of_bytes, mix};
+use agateroute_core::{Id, id};
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use opentelemetry::trace::SpanKind;
+use serde_json::{Map, Value};
+use xitca_web::body::{ResponseBody, StreamDataBody};
+use xitca_web::http::WebResponse;
+
+use crate::account::{Account, Ended, Subject};
+use crate::collect::Collected;
+use crate::engine::StartOrder;
+use crate::error::ApiError;
+use crate::front::{Caller, targets};
+use crate::shell::{Admission, InForce, Permit, Shell};
+use crate::stream::{CallerStream, Generation, Next, OpenError, frame, lost_error};
+use crate::telemetry::end_span;
+
+/// The header by which a caller names the request kind.
+const KIND_HEADER: &str = "agateroute-kind";
+/// The bytes of text that count as one token until the engine has counted.
+const BYTES_PER_TOKEN: usize = 4;
+/// The tokens that each message adds beside its text.
+const MESSAGE_TOKENS: usize = 4;
+/// The bytes at the start of a prompt by which prompts that share a prefix are told.
+const PREFIX_BYTES: usize = 512;
+
+/// A generation that a caller asks for.
+#[derive(Debug)]
+struct Asked {
+    chat: bool,
+    body: Map<String, Value>,
+    stream: bool,
+    want_usage: bool,
+    prompt: u32,
+    most: u32,
+    prefix: u64,
+}
+
+/// What a request is for, as the document declares it.
+#[derive(Debug)]
+struct Declared<'a> {
+    model: &'a str,
+    kind: &'a str,
+    rank: usize,
+}
+
+/// Serves one generation.
+pub async fn serve(
+    shell: &Arc<Shell>,
+    caller: Caller,
+    headers: &HeaderMap,
+    chat: bool,
+    body: Bytes,
+) -> Result<WebResponse, ApiError> {
+    let in_force = caller.in_force.clone();
+    let asked = parse(chat, &body)?;
+    let declared = find_declared(&in_force.document, &caller, headers, &asked)?;
+    let rank = &in_force.document.ranks[declared.rank];
+    let subject = Subject {
+        request: caller.request.clone(),
+        member: caller.member().name.as_str().into(),
+        kind: declared.kind.into(),
+        rank: rank.name.as_str().into(),
+    };
+    let ticket = ticket(shell, &caller, &declared, &asked, &body);
+    let account = Account::open(shell, subject, targets(rank), caller.context.clone());
+    run(shell, &in_force, account, ticket, asked).await
+}
+
+/// Runs a request until its answer has begun, on one backend server after another where that is
+/// allowed.
+async fn run(
+    shell: &Arc<Shell>,
+    in_force: &InForce,
+    mut account: Account,
+    ticket: Ticket,
+    asked: Asked,
+) -> Result<WebResponse, ApiError> {
+    let priority = ticket.rank;
+    let mut queue = shell.telemetry.span("queue", SpanKind::Internal, &account.context);
+    let mut permit = shell.arrive(ticket);
+    loop {
+        let server = match permit.admission().await {
+            Admission::Start(server) => server,
+            Admission::Refuse(refusal, retry_ms) => {
+                end_span(&queue, "refused");
+                account.close(Ended::NotRun);
+                return Err(ApiError::refused(refusal, retry_ms));
+            }
+        };
+        end_span(&queue, "granted");
+        let Some(server) = server_ref(shell, in_force, server) else {
+            permit.end(End::NotStarted { sign: Sign::Nothing });
+            continue;
+        };
+        account.started(&server.name);
+        let granted = shell.telemetry.span("permit", SpanKind::Internal, &account.context);
+        let generation = format!("{:032x}", rand::random::<u128>());
+        let order =
+            StartOrder { chat: asked.chat, body: &asked.body, generation: &generation, priority };
+        let opened = Generation::open(shell, &server, &order, &granted).await;
+        end_span(&granted, "used");
+        match opened {
+            Ok(generation) => match answer(generation, permit, account, &asked).await {
+                Answered::Response(response) => return response,
+                Answered::Again(again_permit, again_account) => {
+                    permit = again_permit;
+                    account = again_account;
+                }
+            },
+            Err(OpenError::Failed(end)) => permit.end(end),
+            Err(OpenError::Rejected(status, body)) => {
+                permit.end(End::Cancelled { tokens: 0 });
+                account.close(Ended::NotRun);
+                return Ok(rejection(status, body));
+            }
+        }
+        queue = shell.telemetry.span("queue", SpanKind::Internal, &account.context);
+    }
+}
+
+fn server_ref(shell: &Shell, in_force: &InForce, server: Id) -> Option<crate::shell::ServerRef> {
+    let known = in_force.servers.get(&server).cloned();
+    known.or_else(|| shell.in_force().servers.get(&server).cloned())
+}
+
+enum Answered {
+    Response(Result<WebResponse, ApiError>),
+    Again(Permit, Account),
+}
+
+/// Waits for the first token. Until then the request may start anew elsewhere.
+async fn answer(
+    mut generation: Generation,
+    mut permit: Permit,
+    mut account: Account,
+    asked: &Asked,
+) -> Answered {
+    generation.want_usage(asked.want_usage && asked.stream);
+    let mut first = Vec::new();
+    loop {
+        match generation.next().await {
+            Next::Chunk(data, 0) => first.push(data),
+            Next::Chunk(data, count) => {
+                account.tokens(count);
+                first.push(data);
+                break;
+            }
+            Next::Whole => {
+                permit.end(generation.end(true, false));
+                account.close_stream();
+                if asked.stream {
+                    first.push(crate::engine::DONE.to_owned());
+                    let bytes: Vec<u8> = first.iter().flat_map(|d| frame(d)).collect();
+                    return Answered::Response(Ok(event_response(ResponseBody::from(bytes))));
+                }
+                return Answered::Response(whole_response(asked.chat, &first, &generation));
+            }
+            Next::Lost => {
+                permit.end(generation.end(false, true));
+                return Answered::Again(permit, account);
+            }
+        }
+    }
+    if asked.stream {
+        let bytes: Vec<u8> = first.iter().flat_map(|d| frame(d)).collect();
+        let caller = CallerStream::new(generation, permit, account, bytes.into());
+        return Answered::Response(Ok(stream_response(caller)));
+    }
+    Answered::Response(collect(generation, permit, account, asked.chat, first).await)
+}
+
+async fn collect(
+    mut generation: Generation,
+    mut permit: Permit,
+    mut account: Account,
+    chat: bool,
+    mut chunks: Vec<String>,
+) -> Result<WebResponse, ApiError> {
+    loop {
+        match generation.next().await {
+            Next::Chunk(data, count) => {
+                if count > 0 {
+                    account.tokens(count);
+                }
+                chunks.push(data);
+            }
+            Next::Whole => {
+                permit.end(generation.end(true, false));
+                account.close_stream();
+                return whole_response(chat, &chunks, &generation);
+            }
+            Next::Lost => {
+                permit.end(generation.end(false, false));
+                account.close(Ended::Partial);
+                return Err(lost_error());
+            }
+        }
+    }
+}
+
+fn whole_response(
+    chat: bool,
+    chunks: &[String],
+    generation: &Generation,
+) -> Result<WebResponse, ApiError> {
+    let mut collected = Collected::default();
+    for chunk in chunks {
+        if collected.add(chunk).is_err() {
+            return Err(lost_error());
+        }
+    }
+    let value = collected.finish(chat, generation.usage());
+    Ok(json_response(&value))
+}
+
+/// An answer with a JSON body.
+pub fn json_response(value: &Value) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::from(value.to_string()));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn rejection(status: StatusCode, body: Bytes) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::from(body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(crate::error::OUTCOME_HEADER, HeaderValue::from_static("not_run"));
+    response
+}
+
+fn stream_response(caller: CallerStream) -> WebResponse {
+    let bytes = stream::unfold(caller, async |mut caller| {
+        let next = caller.next().await?;
+        Some((Ok::<Bytes, std::convert::Infallible>(next), caller))
+    });
+    event_response(ResponseBody::boxed(StreamDataBody::new(bytes)))
+}
+
+fn event_response(body: ResponseBody) -> WebResponse {
+    let mut response = WebResponse::new(body);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+fn parse(chat: bool, body: &[u8]) -> Result<Asked, ApiError> {
+    let body: Map<String, Value> = serde_json::from_slice(body)
+        .map_err(|e| ApiError::bad_request(format!("the body is not a JSON object: {e}")))?;
+    let stream = flag(&body, "stream")?;
+    let options = body.get("stream_options").filter(|o| !o.is_null());
+    let want_usage = match options {
+        None => false,
+        Some(Value::Object(options)) => flag(options, "include_usage")?,
+        Some(_) => return Err(ApiError::bad_request("stream_options is not an object")),
+    };
+    if !matches!(body.get("n"), None | Some(Value::Null)) && count(&body, "n")? != 1 {
+        return Err(ApiError::bad_request("n has to be 1: a request is one generation"));
+    }
+    let most = count(&body, "max_tokens")?.max(count(&body, "max_completion_tokens")?);
+    let (bytes, messages, prefix) = if chat { chat_prompt(&body)? } else { text_prompt(&body)? };
+    let prompt = (bytes / BYTES_PER_TOKEN + messages * MESSAGE_TOKENS).max(1) as u32;
+    Ok(Asked { chat, stream, want_usage, prompt, most, prefix, body })
+}
+
+fn flag(body: &Map<String, Value>, key: &str) -> Result<bool, ApiError> {
+    match body.get(key) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(value)) => Ok(*value),
+        Some(_) => Err(ApiError::bad_request(format!("{key} is not true or false"))),
+    }
+}
+
+fn count(body: &Map<String, Value>, key: &str) -> Result<u32, ApiError> {
+    match body.get(key) {
+        None | Some(Value::Null) => Ok(0),
+        Some(value) => {
+            let number = value.as_u64().filter(|n| *n > 0).and_then(|n| u32::try_from(n).ok());
+            number.ok_or_else(|| ApiError::bad_request(format!("{key} is not a positive number")))
+        }
+    }
+}
+
+/// The length of the text, the number of messages and the hash of the start of a chat prompt.
+fn chat_prompt(body: &Map<String, Value>) -> Result<(usize, usize, u64), ApiError> {
+    let messages = match body.get("messages") {
+        Some(Value::Array(messages)) if !messages.is_empty() => messages,
+        _ => return Err(ApiError::bad_request("messages is not a list with at least one message")),
+    };
+    let mut text = String::new();
+    for message in messages {
+        if !message.get("role").is_some_and(Value::is_string) {
+            return Err(ApiError::bad_request("a message has no role"));
+        }
+        collect_text(message.get("content").unwrap_or(&Value::Null), &mut text);
+    }
+    Ok((text.len(), messages.len(), prefix_hash(&text)))
+}
+
+fn text_prompt(body: &Map<String, Value>) -> Result<(usize, usize, u64), ApiError> {
+    let prompt = body.get("prompt").filter(|p| p.is_string() || p.is_array());
+    let prompt = prompt.ok_or_else(|| ApiError::bad_request("prompt is not a text or a list"))?;
+    let numbers = prompt.as_array().map_or(0, |a| a.iter().filter(|t| t.is_number()).count());
+    let mut text = String::new();
+    collect_text(prompt, &mut text);
+    Ok((text.len() + numbers * BYTES_PER_TOKEN, 0, prefix_hash(&text)))
+}
+
+fn collect_text(value: &Value, text: &mut String) {
+    match value {
+        Value::String(s) => text.push_str(s),
+        Value::Array(items) => items.iter().for_each(|i| collect_text(i, text)),
+        Value::Object(fields) => {
+            if let Some(inner) = fields.get("text") {
+                collect_text(inner, text);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn prefix_hash(text: &str) -> u64 {
+    let end = text.floor_char_boundary(PREFIX_BYTES);
+    if end < PREFIX_BYTES / 2 { 0 } else { id(&text[..end]) }
+}
+
+fn find_declared<'a>(
+    document: &'a Document,
+    caller: &Caller,
+    headers: &HeaderMap,
+    asked: &Asked,
+) -> Result<Declared<'a>, ApiError> {
+    let name = asked.body.get("model").and_then(Value::as_str);
+    let name = name.ok_or_else(|| ApiError::bad_request("model is not a text"))?;
+    let (base, adapter) = name.split_once(':').map_or((name, None), |(b, a)| (b, Some(a)));
+    let missing = || {
+        let message = format!("model {name:?} does not exist");
+        ApiError::not_run(StatusCode::NOT_FOUND, "model_not_found", message)
+    };
+    let model = document.model(base).ok_or_else(missing)?;
+    if adapter.is_some_and(|a| !model.adapters.iter().any(|d| d.name == a)) {
+        return Err(missing());
+    }
+    let member = caller.member();
+    if !member.models.iter().any(|m| m == base) {
+        let message = format!("member {:?} may not use model {base:?}", member.name);
+        return Err(ApiError::not_run(StatusCode::FORBIDDEN, "not_granted", message));
+    }
+    if asked.prompt.saturating_add(asked.most) > model.context_tokens {
+        let message = format!(
+            "prompt and max_tokens together pass the {} tokens of model {base:?}",
+            model.context_tokens
+        );
+        return Err(ApiError::not_run(StatusCode::BAD_REQUEST, "context_length_exceeded", message));
+    }
+    let wanted = headers.get(KIND_HEADER).map(|v| v.to_str().unwrap_or_default());
+    let kind = model.kind(wanted).ok_or_else(|| {
+        let wanted = wanted.unwrap_or_default();
+        ApiError::bad_request(format!("kind {wanted:?} does not exist in model {base:?}"))
+    })?;
+    let rank = document.rank_index(&kind.rank).unwrap_or(0);
+    Ok(Declared { model: &model.name, kind: &kind.name, rank })
+}
+
+fn ticket(
+    shell: &Shell,
+    caller: &Caller,
+    declared: &Declared<'_>,
+    asked: &Asked,
+    body: &Bytes,
+) -> Ticket {
+    let document = &caller.in_force.document;
+    let member = id(&caller.member().name);
+    let kind = id(declared.kind);
+    let prefix = if asked.prefix == 0 { 0 } else { mix(member, asked.prefix) };
+    Ticket {
+        request: shell.next_request(),
+        member,
+        target: model_id(declared.model),
+        kind,
+        rank: declared.rank as u8,
+        prompt: asked.prompt,
+        most: asked.most,
+        prefix,
+        fingerprint: mix(mix(member, kind), id_of_bytes(body)),
+        deadline: shell.now() + document.ranks[declared.rank].first_token_ms,
+    }
+}
--- /dev/null
+++ b/agaterouted/src/jobs.rs
@@ -0,0 +1,144 @@
+//! Carries out the effects that need the platform's table service.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use agateroute_core::Event;
+use agateroute_core::ledger::{RowResult, Transacted};
+use agateroute_platform::table::{Condition, Failure, Outcome, Row, Table, Write};
+use agateroute_proto::peers::Claim;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::record::claim_row;
+use crate::shell::Shell;
+
+/// The partition of suspect requests.
+const SUSPECTS_PARTITION: &str = "suspects";
+/// How long suspect requests are kept, in seconds.
+const SUSPECTS_SECONDS: u64 = 24 * 3600;
+/// The most suspect requests that are read at start.
+const SUSPECTS_MOST: usize = 1_000;
+/// The pause before a read at start is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Something to do with the table service.
+#[derive(Clone, Debug)]
+pub enum Job {
+    /// Write claims in one transaction.
+    Transact {
+        /// The shard.
+        shard: u64,
+        /// The claims.
+        claims: Vec<Claim>,
+    },
+    /// Keep what is known of a suspect request.
+    KeepSuspect {
+        /// The fingerprint.
+        fingerprint: u64,
+        /// The crashes so far.
+        crashes: u32,
+    },
+}
+
+/// Carries out jobs as they come, until cancelled.
+pub async fn run(
+    shell: Arc<Shell>,
+    mut jobs: mpsc::UnboundedReceiver<Job>,
+    cancel: CancellationToken,
+) {
+    loop {
+        let job = tokio::select! {
+            () = cancel.cancelled() => return,
+            job = jobs.recv() => match job {
+                Some(job) => job,
+                None => return,
+            },
+        };
+        tokio::spawn(carry_out(shell.clone(), job));
+    }
+}
+
+async fn carry_out(shell: Arc<Shell>, job: Job) {
+    match job {
+        Job::Transact { shard, claims } => {
+            let outcome = match &shell.platform {
+                Some(platform) => transact(&shell, &platform.table, &claims).await,
+                None => Transacted::Failed,
+            };
+            shell.apply(Event::Transacted { shard, outcome });
+        }
+        Job::KeepSuspect { fingerprint, crashes } => {
+            if let Some(platform) = &shell.platform {
+                let row = suspect_row(fingerprint, crashes);
+                let write = Write { row: &row, condition: Condition::Always };
+                if let Err(error) = platform.table.transact(&[write]).await {
+                    spdlog::warn!("suspect_not_kept", kv: { error: });
+                }
+            }
+        }
+    }
+}
+
+async fn transact(shell: &Shell, table: &Table, claims: &[Claim]) -> Transacted {
+    let hours = u64::from(shell.in_force().document.routing.record_hours);
+    let expires = unix_seconds() + hours * 3600;
+    let rows: Vec<Row> = claims.iter().map(|c| claim_row(c, expires)).collect();
+    let writes = claims.iter().zip(&rows).map(|(claim, row)| {
+        let condition = match claim.replaces.as_str() {
+            "" => Condition::AbsentOrTag(&claim.attempt),
+            replaced => Condition::Tag(replaced),
+        };
+        Write { row, condition }
+    });
+    let writes: Vec<Write<'_>> = writes.collect();
+    match table.transact(&writes).await {
+        Ok(Outcome::Done) => Transacted::Done,
+        Ok(Outcome::Conflict(failures)) => {
+            Transacted::Conflict(failures.into_iter().map(row_result).collect())
+        }
+        Err(error) => {
+            spdlog::warn!("claims_not_written", kv: { claims = claims.len(), error: });
+            Transacted::Failed
+        }
+    }
+}
+
+fn row_result(failure: Failure) -> RowResult {
+    RowResult { failed: failure.failed, standing: failure.row.map(|r| (r.tag, r.value)) }
+}
+
+/// Seconds since 1970.
+pub fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
+fn suspect_row(fingerprint: u64, crashes: u32) -> Row {
+    Row {
+        partition: SUSPECTS_PARTITION.to_owned(),
+        sort: format!("{fingerprint:016x}"),
+        tag: crashes.to_string(),
+        value: "{}".to_owned(),
+        expires: unix_seconds() + SUSPECTS_SECONDS,
+    }
+}
+
+/// Reads the suspect requests that the table service keeps, until it answers.
+pub async fn read_suspects(shell: Arc<Shell>, cancel: CancellationToken) {
+    let Some(platform) = &shell.platform else { return };
+    loop {
+        if let Ok(rows) = platform.table.query(SUSPECTS_PARTITION, " ", SUSPECTS_MOST).await {
+            for row in rows {
+                let fingerprint = u64::from_str_radix(&row.sort, 16);
+                if let (Ok(fingerprint), Ok(crashes)) = (fingerprint, row.tag.parse()) {
+                    shell.apply(Event::SuspectKept { fingerprint, crashes });
+                }
+            }
+            return;
+        }
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            () = tokio::time::sleep(RETRY_PAUSE) => {}
+        }
+    }
+}
--- /dev/null
+++ b/agaterouted/src/log.rs
@@ -0,0 +1,64 @@
+//! Structured logs: one line of key=value pairs for each event.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::UNIX_EPOCH;
+
+use spdlog::formatter::{Formatter, FormatterContext};
+use spdlog::prelude::*;
+use spdlog::sink::StdStreamSink;
+use spdlog::{Record, StringBuf};
+
+/// Writes a record as `time=… level=… event=… key=value …`.
+#[derive(Clone)]
+struct KeyValueFormatter;
+
+impl Formatter for KeyValueFormatter {
+    fn format(
+        &self,
+        record: &Record<'_>,
+        dest: &mut StringBuf,
+        _: &mut FormatterContext<'_>,
+    ) -> spdlog::Result<()> {
+        let since = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut line = format!("time={}.{:03}", since.as_secs(), since.subsec_millis());
+        let _ = write!(line, " level={} event=", record.level().as_str());
+        push_value(&mut line, record.payload());
+        for (key, value) in record.key_values() {
+            let _ = write!(line, " {}=", key.as_str());
+            push_value(&mut line, &value.to_string());
+        }
+        line.push('\n');
+        dest.push_str(&line);
+        Ok(())
+    }
+}
+
+/// Quotes a value that would not read as one word.
+fn push_value(line: &mut String, value: &str) {
+    let plain = |c: char| c.is_ascii_graphic() && c != '"' && c != '=';
+    if !value.is_empty() && value.chars().all(plain) {
+        line.push_str(value);
+    } else {
+        let _ = write!(line, "{value:?}");
+    }
+}
+
+/// Sends logs to standard output at a level, which the settings check has validated.
+pub fn start(level: &str) -> spdlog::Result<()> {
+    let level = match level {
+        "error" => Level::Error,
+        "warn" => Level::Warn,
+        "debug" => Level::Debug,
+        "trace" => Level::Trace,
+        _ => Level::Info,
+    };
+    let sink = StdStreamSink::builder().stdout().formatter(KeyValueFormatter).build()?;
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::All)
+        .build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- /dev/null
+++ b/agaterouted/src/ops.rs
@@ -0,0 +1,93 @@
+//! The front towards operators: metrics, status, and health.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use agateroute_core::{Id, State};
+use http::{HeaderValue, StatusCode, header};
+use serde_json::{Value, json};
+use xitca_web::http::{WebRequest, WebResponse};
+
+use crate::front::text;
+use crate::generation::json_response;
+use crate::shell::Shell;
+
+/// Serves one request of an operator.
+pub async fn handle(shell: Arc<Shell>, request: WebRequest) -> Result<WebResponse, Infallible> {
+    Ok(match request.uri().path() {
+        "/livez" => text(StatusCode::OK, "live\n"),
+        "/readyz" if shell.ready() => text(StatusCode::OK, "ready\n"),
+        "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => metrics(&shell),
+        "/status" => json_response(&status(&shell)),
+        path => text(StatusCode::NOT_FOUND, format!("path {path:?} does not exist\n")),
+    })
+}
+
+fn metrics(shell: &Shell) -> WebResponse {
+    let mut response = text(StatusCode::OK, shell.telemetry.metrics_page());
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// What the instance knows: its configuration, its peers and the desks of its backend servers.
+fn status(shell: &Shell) -> Value {
+    let in_force = shell.in_force();
+    let name = |server: Id| in_force.servers.get(&server).map(|s| s.name.to_string());
+    let (peers, desks, waiting, running) = shell.read(|state| {
+        let desks: Vec<Value> = state.desks.iter().map(|(id, d)| desk(name(*id), d)).collect();
+        (peers(state), desks, state.entry.pending.len(), state.entry.running.len())
+    });
+    json!({
+        "instance": shell.me.name,
+        "start": shell.me.start,
+        "zone": shell.settings.zone,
+        "ready": shell.ready(),
+        "leaving": shell.leaving(),
+        "version": in_force.version,
+        "active": shell.active.load(Ordering::Acquire),
+        "waiting": waiting,
+        "running": running,
+        "peers": peers,
+        "servers": desks,
+    })
+}
+
+fn peers(state: &State) -> Vec<Value> {
+    let silent = |heard: u64| state.now.saturating_sub(heard);
+    let peers = state.membership.peers.values();
+    peers
+        .map(|p| {
+            json!({
+                "instance": p.name,
+                "start": p.start,
+                "linked": p.linked,
+                "silent_ms": silent(p.heard),
+            })
+        })
+        .collect()
+}
+
+fn desk(name: Option<String>, desk: &agateroute_core::desk::Desk) -> Value {
+    let report = desk.report.as_ref().map(|(_, r)| {
+        json!({
+            "used": r.used,
+            "running": r.running,
+            "waiting": r.waiting,
+            "preemptions": r.preemptions,
+            "leaving": r.leaving,
+        })
+    });
+    json!({
+        "server": name,
+        "closed": desk.closed,
+        "acting": desk.acting,
+        "waiting": desk.waiting.len(),
+        "running": desk.running.len(),
+        "account": desk.account(),
+        "deviations": desk.deviations,
+        "report": report,
+    })
+}
--- /dev/null
+++ b/agaterouted/src/peers.rs
@@ -0,0 +1,242 @@
+//! The long-lived streams between instances.
+//!
+//! A pair of instances shares one stream. The instance whose address sorts first dials at once, the
+//! other one only when no stream comes. Where both have dialed, the stream stays that was dialed by
+//! the instance whose name sorts first.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agateroute_core::membership::Peer;
+use agateroute_core::{Event, Id};
+use agateroute_proto::peers::peers_client::PeersClient;
+use agateroute_proto::peers::peers_server::{Peers, PeersServer};
+use agateroute_proto::peers::{Batch, FetchReply, FetchRequest, Hello, Message};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::TcpListenerStream;
+use tokio_stream::{Stream, StreamExt};
+use tokio_util::sync::CancellationToken;
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::shell::{Shell, millis};
+
+/// Heartbeats in the time after which a silent peer counts as gone.
+const HEARTBEATS: u64 = 4;
+/// The silences of a peer after which its stream is given up and dialed anew.
+const SILENCES_CUT: u64 = 2;
+/// How long a dial may take.
+const DIAL_TIME: Duration = Duration::from_millis(1_000);
+/// The pause between two dials of one peer.
+const DIAL_PAUSE: Duration = Duration::from_millis(300);
+/// How much longer the instance whose name sorts last waits before it dials.
+const YIELD_PAUSE: Duration = Duration::from_millis(1_000);
+/// The most messages in one batch.
+const BATCH_MOST: usize = 1_024;
+/// The batches that a stream buffers.
+const BUFFERED: usize = 16;
+
+type BatchStream = Pin<Box<dyn Stream<Item = Result<Batch, Status>> + Send>>;
+
+/// The server side of the streams.
+#[derive(Clone, Debug)]
+struct PeerService {
+    shell: Arc<Shell>,
+    cancel: CancellationToken,
+}
+
+#[tonic::async_trait]
+impl Peers for PeerService {
+    type LinkStream = BatchStream;
+
+    async fn link(
+        &self,
+        request: Request<Streaming<Batch>>,
+    ) -> Result<Response<BatchStream>, Status> {
+        let mut incoming = request.into_inner();
+        let first = incoming.next().await;
+        let hello = first.and_then(Result::ok).and_then(|b| b.hello);
+        let hello =
+            hello.ok_or_else(|| Status::invalid_argument("the first batch has no hello"))?;
+        if hello.instance == self.shell.me.name {
+            return Err(Status::already_exists("this instance has the same name"));
+        }
+        let id = agateroute_core::id(&hello.instance);
+        if self.shell.linked(id) && self.shell.me.name < hello.instance {
+            return Err(Status::already_exists("there is a stream to this instance"));
+        }
+        let outgoing = open_link(&self.shell, &hello, incoming, &self.cancel);
+        let stream = tokio_stream::wrappers::ReceiverStream::new(outgoing).map(Ok);
+        Ok(Response::new(Box::pin(stream)))
+    }
+
+    async fn fetch(&self, request: Request<FetchRequest>) -> Result<Response<FetchReply>, Status> {
+        let in_force = self.shell.in_force();
+        if !self.shell.configured() || in_force.version <= request.get_ref().version {
+            let reply = FetchReply { version: in_force.version, document: String::new() };
+            return Ok(Response::new(reply));
+        }
+        let document = serde_json::to_string(&*in_force.document)
+            .map_err(|e| Status::internal(format!("document not written: {e}")))?;
+        Ok(Response::new(FetchReply { version: in_force.version, document }))
+    }
+}
+
+/// Serves the streams that peers dial, until cancelled.
+pub async fn serve(
+    shell: Arc<Shell>,
+    listener: TcpListener,
+    cancel: CancellationToken,
+) -> Result<(), tonic::transport::Error> {
+    let service = PeerService { shell, cancel: cancel.clone() };
+    Server::builder()
+        .tcp_nodelay(true)
+        .add_service(PeersServer::new(service))
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), cancel.cancelled())
+        .await
+}
+
+/// Keeps a stream to one address, until cancelled.
+pub async fn keep_dialing(shell: Arc<Shell>, address: String, cancel: CancellationToken) {
+    let mut peer: Option<Id> = None;
+    let yields = shell.settings.peer > address;
+    while !cancel.is_cancelled() {
+        let linked = shell.linked_to(&address) || peer.is_some_and(|p| shell.linked(p));
+        if linked || yields {
+            let pause = if linked { DIAL_PAUSE } else { YIELD_PAUSE };
+            tokio::select! {
+                () = cancel.cancelled() => return,
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+        if !shell.linked_to(&address)
+            && peer.is_none_or(|p| !shell.linked(p))
+            && let Some(found) = dial(&shell, &address, &cancel).await
+        {
+            peer = Some(found);
+        }
+        tokio::time::sleep(DIAL_PAUSE).await;
+    }
+}
+
+async fn dial(shell: &Arc<Shell>, address: &str, cancel: &CancellationToken) -> Option<Id> {
+    let channel = connect(address).await?;
+    let (sender, outgoing) = mpsc::channel(BUFFERED);
+    let _ = sender.send(hello_batch(shell)).await;
+    let request = tokio_stream::wrappers::ReceiverStream::new(outgoing);
+    let mut client = PeersClient::new(channel);
+    let answer = tokio::time::timeout(DIAL_TIME, client.link(request)).await;
+    let mut incoming = answer.ok()?.ok()?.into_inner();
+    let first = tokio::time::timeout(DIAL_TIME, incoming.next()).await.ok()??.ok()?;
+    let hello = first.hello?;
+    let peer = Peer { name: hello.instance.clone(), start: hello.start };
+    let id = peer.id();
+    if hello.instance == shell.me.name {
+        return Some(id);
+    }
+    if shell.linked(id) && shell.me.name > hello.instance {
+        return Some(id);
+    }
+    start_link(shell, &hello, incoming, sender, cancel);
+    Some(id)
+}
+
+async fn connect(address: &str) -> Option<Channel> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    endpoint.connect_timeout(DIAL_TIME).tcp_nodelay(true).connect().await.ok()
+}
+
+/// Asks a peer for the document in force, if it has a newer one.
+pub async fn fetch_document(address: &str, version: u64) -> Option<FetchReply> {
+    let channel = connect(address).await?;
+    let mut client = PeersClient::new(channel);
+    let request = client.fetch(FetchRequest { version });
+    let answer = tokio::time::timeout(DIAL_TIME, request).await.ok()?.ok()?;
+    Some(answer.into_inner())
+}
+
+fn hello_batch(shell: &Shell) -> Batch {
+    let hello = Hello {
+        instance: shell.me.name.clone(),
+        start: shell.me.start,
+        zone: shell.settings.zone.clone(),
+        address: shell.settings.peer.clone(),
+    };
+    Batch { hello: Some(hello), version: shell.in_force().version, messages: Vec::new() }
+}
+
+fn open_link(
+    shell: &Arc<Shell>,
+    hello: &Hello,
+    incoming: Streaming<Batch>,
+    cancel: &CancellationToken,
+) -> mpsc::Receiver<Batch> {
+    let (sender, outgoing) = mpsc::channel(BUFFERED);
+    let _ = sender.try_send(hello_batch(shell));
+    start_link(shell, hello, incoming, sender, cancel);
+    outgoing
+}
+
+/// Registers a stream and starts its two directions. Either end of the stream ends both.
+fn start_link(
+    shell: &Arc<Shell>,
+    hello: &Hello,
+    incoming: Streaming<Batch>,
+    outgoing: mpsc::Sender<Batch>,
+    cancel: &CancellationToken,
+) {
+    let peer = Peer { name: hello.instance.clone(), start: hello.start };
+    let id = peer.id();
+    let (sender, messages) = mpsc::unbounded_channel();
+    let number = shell.link(&peer, &hello.address, sender);
+    spdlog::info!("peer_linked", kv: { peer: = hello.instance.as_str(), start = hello.start });
+    let shell = shell.clone();
+    let cancel = cancel.child_token();
+    let name = hello.instance.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = write_batches(&shell, messages, &outgoing) => {}
+            () = read_batches(&shell, id, incoming) => {}
+            () = cancel.cancelled() => {}
+        }
+        shell.unlink(id, number);
+        spdlog::info!("peer_unlinked", kv: { peer: = name.as_str() });
+    });
+}
+
+/// Sends messages as they come, all that are there in one batch, and heartbeats when none are.
+async fn write_batches(
+    shell: &Shell,
+    mut messages: mpsc::UnboundedReceiver<Message>,
+    outgoing: &mpsc::Sender<Batch>,
+) {
+    loop {
+        let routing_ms = shell.in_force().document.routing.peer_ms;
+        let mut batch = Vec::new();
+        let heartbeat = millis(routing_ms / HEARTBEATS);
+        let received = messages.recv_many(&mut batch, BATCH_MOST);
+        if let Ok(0) = tokio::time::timeout(heartbeat, received).await {
+            return;
+        }
+        let version = shell.in_force().version;
+        if outgoing.send(Batch { hello: None, version, messages: batch }).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_batches(shell: &Shell, peer: Id, mut incoming: Streaming<Batch>) {
+    loop {
+        let silence = millis(shell.in_force().document.routing.peer_ms * SILENCES_CUT);
+        let Ok(Some(Ok(batch))) = tokio::time::timeout(silence, incoming.next()).await else {
+            return;
+        };
+        shell.apply(Event::Heard { peer });
+        shell.see_version(batch.version);
+        for body in batch.messages.into_iter().filter_map(|m| m.body) {
+            shell.apply(Event::Received { peer, body });
+        }
+    }
+}
--- /dev/null
+++ b/agaterouted/src/plain.rs
@@ -0,0 +1,96 @@
+//! The adapter for plain servers: calls are passed through whole.
+
+use agateroute_core::event::Report;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, header};
+use http_body_util::Full;
+
+use crate::engine::{ServerRequest, read_load_report};
+
+/// The header that carries a fencing number.
+const FENCING_HEADER: &str = "fencing-token";
+/// The header that carries the key of a call that may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// A call on its way to a plain server.
+#[derive(Clone, Debug)]
+pub struct CallOrder<'a> {
+    /// The method.
+    pub method: &'a Method,
+    /// The path below the service, with the query.
+    pub path: &'a str,
+    /// The caller's header fields.
+    pub headers: &'a HeaderMap,
+    /// The body.
+    pub body: &'a Bytes,
+    /// The member that calls.
+    pub member: &'a str,
+    /// The fencing number of the claim, for servers that check it.
+    pub fencing: Option<u64>,
+}
+
+/// The functions that speak a plain server's wire format. Each takes the address first.
+#[derive(Clone, Copy, Debug)]
+pub struct PlainAdapter {
+    /// Encodes a call.
+    pub call: fn(&str, &CallOrder<'_>) -> ServerRequest,
+    /// Encodes a read of the load report.
+    pub report: fn(&str) -> ServerRequest,
+    /// Decodes a load report.
+    pub decode_report: fn(&[u8]) -> serde_json::Result<Report>,
+}
+
+/// The adapter for plain HTTP servers.
+pub const HTTP: PlainAdapter =
+    PlainAdapter { call: http_call, report: http_report, decode_report: read_load_report };
+
+/// Header fields that belong to one connection, or that name the caller's key.
+const HOP_HEADERS: [&str; 12] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a header field is passed on.
+pub fn passes(name: &str) -> bool {
+    HOP_HEADERS.binary_search(&name).is_err()
+}
+
+fn http_call(address: &str, order: &CallOrder<'_>) -> ServerRequest {
+    let mut request = Request::new(Full::new(order.body.clone()));
+    *request.method_mut() = order.method.clone();
+    if let Ok(uri) = format!("http://{address}/{}", order.path).parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    for (name, value) in order.headers {
+        if passes(name.as_str()) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    if let Ok(member) = order.member.parse() {
+        headers.insert("agateroute-member", member);
+    }
+    if let Some(number) = order.fencing {
+        headers.insert(FENCING_HEADER, number.into());
+    }
+    request
+}
+
+fn http_report(address: &str) -> ServerRequest {
+    let uri = format!("http://{address}/load");
+    Request::builder()
+        .uri(uri)
+        .header(header::ACCEPT, "application/json")
+        .body(Full::default())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/agaterouted/src/run.rs
@@ -0,0 +1,193 @@
+//! Starts an instance, keeps it running, and stops it gracefully.
+
+use std::fmt::Display;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agateroute_config::{Settings, parse_document, parse_settings};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use xitca_web::HttpServer;
+use xitca_web::service::fn_service;
+
+use crate::args::Args;
+use crate::jobs::Job;
+use crate::shell::{Shell, millis};
+use crate::telemetry::Telemetry;
+use crate::{follow, front, jobs, log, ops, peers, stream, watch};
+
+/// The most header fields that the HTTP library parses.
+const HEADERS_MOST: usize = 128;
+/// The longest head that the HTTP library reads, in bytes.
+const HEAD_MOST: usize = 256 * 1024;
+/// The bytes that a connection buffers for a slow caller.
+const WRITE_MOST: usize = 64 * 1024;
+/// How often a leaving instance looks whether its work is done.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why an instance could not start.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("{step}: {cause}")]
+pub struct StartError {
+    step: &'static str,
+    #[error(not(source))]
+    cause: String,
+}
+
+fn fail<E: Display>(step: &'static str) -> impl FnOnce(E) -> StartError {
+    move |e| StartError { step, cause: e.to_string() }
+}
+
+/// Runs an instance until it is told to stop.
+pub fn run(args: &Args) -> Result<(), StartError> {
+    let file = args.settings.display().to_string();
+    let text = std::fs::read_to_string(&args.settings).map_err(fail("settings"))?;
+    let mut settings = parse_settings(&file, &text).map_err(fail("settings"))?;
+    args.override_settings(&mut settings);
+    log::start(&settings.telemetry.level).map_err(fail("logs"))?;
+    let callers = bind(&settings.listen)?;
+    let operators = bind(&settings.ops)?;
+    let peer = bind(&settings.peer)?;
+    settings.peer = address(&peer)?;
+    let listening = (address(&callers)?, address(&operators)?);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name("control")
+        .enable_all()
+        .build()
+        .map_err(fail("runtime"))?;
+    let _entered = runtime.enter();
+    let telemetry = Telemetry::start(&settings).map_err(fail("telemetry"))?;
+    let (jobs, queued) = tokio::sync::mpsc::unbounded_channel();
+    let shell = Arc::new(Shell::new(settings, telemetry, jobs));
+    load_file(&shell)?;
+    let cancel = CancellationToken::new();
+    start_control(&shell, &runtime, peer, queued, &cancel)?;
+    let stop_callers = serve_callers(&shell, callers)?;
+    let stop_operators = serve_operators(&shell, operators)?;
+    spdlog::info!("listening", kv: {
+        instance: = shell.me.name.as_str(),
+        start = shell.me.start,
+        listen: = listening.0.as_str(),
+        ops: = listening.1.as_str(),
+        peer: = shell.settings.peer.as_str(),
+    });
+    runtime.block_on(wait_for_stop(&shell))?;
+    cancel.cancel();
+    stop_callers();
+    stop_operators();
+    shell.telemetry.shutdown();
+    spdlog::info!("stopped", kv: { instance: = shell.me.name.as_str() });
+    runtime.shutdown_timeout(Duration::from_millis(100));
+    Ok(())
+}
+
+fn bind(address: &str) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address)
+        .map_err(|e| StartError { step: "bind", cause: format!("{address}: {e}") })?;
+    listener.set_nonblocking(true).map_err(fail("bind"))?;
+    Ok(listener)
+}
+
+fn address(listener: &TcpListener) -> Result<String, StartError> {
+    listener.local_addr().map(|a| a.to_string()).map_err(fail("bind"))
+}
+
+/// Brings the document file of the settings into force. With a platform it is only checked here: it
+/// comes into force where the platform answers that it has no version yet, so that a restarted
+/// instance can not go back behind a version.
+fn load_file(shell: &Shell) -> Result<(), StartError> {
+    let Some(file) = &shell.settings.document else { return Ok(()) };
+    let text = std::fs::read_to_string(file).map_err(fail("document"))?;
+    let document = parse_document(file, &text).map_err(fail("document"))?;
+    if shell.platform.is_none() {
+        shell.configure(0, document);
+    } else {
+        shell.set_first(document);
+    }
+    Ok(())
+}
+
+fn start_control(
+    shell: &Arc<Shell>,
+    runtime: &tokio::runtime::Runtime,
+    listener: TcpListener,
+    queued: tokio::sync::mpsc::UnboundedReceiver<Job>,
+    cancel: &CancellationToken,
+) -> Result<(), StartError> {
+    let listener = tokio::net::TcpListener::from_std(listener).map_err(fail("bind"))?;
+    runtime.spawn(peers::serve(shell.clone(), listener, cancel.child_token()));
+    for address in peer_addresses(&shell.settings) {
+        runtime.spawn(peers::keep_dialing(shell.clone(), address, cancel.child_token()));
+    }
+    runtime.spawn(watch::tick(shell.clone(), cancel.child_token()));
+    runtime.spawn(watch::reports(shell.clone(), cancel.child_token()));
+    runtime.spawn(jobs::run(shell.clone(), queued, cancel.child_token()));
+    runtime.spawn(jobs::read_suspects(shell.clone(), cancel.child_token()));
+    runtime.spawn(follow::configuration(shell.clone(), cancel.child_token()));
+    runtime.spawn(follow::instances(shell.clone(), cancel.child_token()));
+    Ok(())
+}
+
+fn peer_addresses(settings: &Settings) -> Vec<String> {
+    let mut all = settings.peers.clone();
+    all.sort();
+    all.dedup();
+    all.retain(|a| *a != settings.peer);
+    all
+}
+
+/// Starts the HTTP server for callers. Returns what stops it.
+fn serve_callers(shell: &Arc<Shell>, listener: TcpListener) -> Result<impl Fn(), StartError> {
+    let state = shell.clone();
+    let service = fn_service(move |request| front::handle(state.clone(), request));
+    let mut server = HttpServer::serve(service)
+        .h2c_prior_knowledge()
+        .worker_threads(shell.settings.workers as usize)
+        .request_head_timeout(millis(shell.settings.head_ms))
+        .keep_alive_timeout(millis(shell.settings.idle_ms))
+        .max_request_headers::<HEADERS_MOST>()
+        .max_read_buf_size::<HEAD_MOST>()
+        .max_write_buf_size::<WRITE_MOST>()
+        .disable_signal()
+        .listen(listener)
+        .map_err(fail("callers"))?
+        .run();
+    let handle = server.handle().map_err(fail("callers"))?;
+    tokio::spawn(server);
+    Ok(move || handle.stop(false))
+}
+
+/// Starts the HTTP server for operators. Returns what stops it.
+fn serve_operators(shell: &Arc<Shell>, listener: TcpListener) -> Result<impl Fn(), StartError> {
+    let state = shell.clone();
+    let service = fn_service(move |request| ops::handle(state.clone(), request));
+    let mut server = HttpServer::serve(service)
+        .worker_threads(1)
+        .disable_signal()
+        .listen(listener)
+        .map_err(fail("operators"))?
+        .run();
+    let handle = server.handle().map_err(fail("operators"))?;
+    tokio::spawn(server);
+    Ok(move || handle.stop(false))
+}
+
+/// Waits for a stop signal, then until the notice is over and no request is in progress.
+async fn wait_for_stop(shell: &Shell) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(fail("signals"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(fail("signals"))?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let notice = millis(shell.in_force().document.routing.notice_ms);
+    spdlog::info!("leaving", kv: { notice_ms = notice.as_millis() as u64 });
+    shell.leave();
+    tokio::time::sleep(notice).await;
+    while stream::busy(shell) {
+        tokio::time::sleep(DRAIN_PAUSE).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/agaterouted/src/shell.rs
@@ -0,0 +1,433 @@
+//! The shell around the reducer: turns I/O into events and effects into I/O.
+
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use agateroute_config::{Document, Settings};
+use agateroute_core::effect::Refusal;
+use agateroute_core::event::{End, RequestId, Ticket};
+use agateroute_core::id::Millis;
+use agateroute_core::membership::Peer;
+use agateroute_core::{Effect, Event, Id, State, Table, id};
+use agateroute_proto::peers::message::Body;
+use agateroute_proto::peers::{Claim, ClaimOutcome, Message};
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::auth::KeyRing;
+use crate::jobs::Job;
+use crate::platform::Platform;
+use crate::telemetry::Telemetry;
+
+/// The document in force, with what is derived from it.
+#[derive(Debug)]
+pub struct InForce {
+    /// The version, 0 for a document from a file.
+    pub version: u64,
+    /// The document.
+    pub document: Arc<Document>,
+    /// The keys of its members.
+    pub keys: KeyRing,
+    /// The backend servers by identifier.
+    pub servers: Table<Id, ServerRef>,
+}
+
+/// Where a backend server is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerRef {
+    /// The identifier.
+    pub id: Id,
+    /// The declared name.
+    pub name: Arc<str>,
+    /// The IP address and port.
+    pub address: Arc<str>,
+    /// Whether it is a model engine.
+    pub engine: bool,
+}
+
+/// What the reducer decided about a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Start on this backend server.
+    Start(Id),
+    /// Refused as not run, with the time after which asking again makes sense, in milliseconds.
+    Refuse(Refusal, u32),
+}
+
+/// The channel to a linked peer.
+pub type PeerSender = mpsc::UnboundedSender<Message>;
+
+/// A stream to a peer.
+#[derive(Debug)]
+struct Link {
+    number: u64,
+    address: String,
+    sender: PeerSender,
+}
+
+/// The state that the reducer works on, and where its effects go.
+#[derive(Debug)]
+struct Inner {
+    state: State,
+    waiters: Table<RequestId, mpsc::UnboundedSender<Admission>>,
+    claims: Table<RequestId, oneshot::Sender<(ClaimOutcome, String)>>,
+    links: Table<Id, Link>,
+    jobs: mpsc::UnboundedSender<Job>,
+}
+
+/// The shell of one instance.
+#[derive(Debug)]
+pub struct Shell {
+    /// The settings.
+    pub settings: Settings,
+    /// Metrics and traces.
+    pub telemetry: Telemetry,
+    /// This instance.
+    pub me: Peer,
+    /// The platform's services, where there are some.
+    pub platform: Option<Platform>,
+    /// The requests in progress.
+    pub active: AtomicI64,
+    /// Wakes who follows the configuration.
+    pub version_seen: Notify,
+    inner: Mutex<Inner>,
+    in_force: RwLock<Arc<InForce>>,
+    first: Mutex<Option<Document>>,
+    started: Instant,
+    next: AtomicU64,
+    newest: AtomicU64,
+    ready: AtomicBool,
+    leaving: AtomicBool,
+}
+
+impl Shell {
+    /// The shell of an instance. It is not ready until a document is in force.
+    pub fn new(
+        settings: Settings,
+        telemetry: Telemetry,
+        jobs: mpsc::UnboundedSender<Job>,
+    ) -> Shell {
+        let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let me = Peer { name: settings.instance.clone(), start: start as u64 };
+        let document = Arc::new(empty_document());
+        let state = State::new(&me, document.clone(), rand::random());
+        let platform = settings.platform.as_ref().map(Platform::new);
+        Shell {
+            settings,
+            telemetry,
+            platform,
+            active: AtomicI64::new(0),
+            version_seen: Notify::new(),
+            newest: AtomicU64::new(0),
+            inner: Mutex::new(Inner {
+                state,
+                waiters: Table::default(),
+                claims: Table::default(),
+                links: Table::default(),
+                jobs,
+            }),
+            in_force: RwLock::new(Arc::new(InForce::new(0, document))),
+            first: Mutex::new(None),
+            started: Instant::now(),
+            next: AtomicU64::new(1),
+            ready: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            me,
+        }
+    }
+
+    /// Milliseconds since this instance started.
+    pub fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies an event and carries out its effects.
+    pub fn apply(&self, event: Event) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let effects = inner.state.apply(now, event);
+        for effect in effects {
+            inner.carry_out(effect);
+        }
+    }
+
+    /// Reads something from the state of the reducer.
+    pub fn read<T>(&self, look: impl FnOnce(&State) -> T) -> T {
+        look(&self.lock().state)
+    }
+
+    /// The document in force.
+    pub fn in_force(&self) -> Arc<InForce> {
+        self.in_force.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Brings a document into force, unless a newer one is. Returns whether it did.
+    pub fn configure(&self, version: u64, document: Document) -> bool {
+        let document = Arc::new(document);
+        {
+            let mut slot = self.in_force.write().unwrap_or_else(PoisonError::into_inner);
+            if self.ready.load(Ordering::Acquire) && version <= slot.version {
+                return false;
+            }
+            *slot = Arc::new(InForce::new(version, document.clone()));
+            self.apply(Event::Configured { document });
+        }
+        self.ready.store(true, Ordering::Release);
+        spdlog::info!("configured", kv: { version });
+        true
+    }
+
+    /// Keeps a document for the case that the platform has no version yet.
+    pub fn set_first(&self, document: Document) {
+        *self.first.lock().unwrap_or_else(PoisonError::into_inner) = Some(document);
+    }
+
+    /// Brings the first document into force, since the platform has no version yet.
+    pub fn use_first(&self) {
+        let first = self.first.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(document) = first {
+            self.configure(0, document);
+        }
+    }
+
+    /// Whether the balancer should send requests here.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.leaving()
+    }
+
+    /// Whether a document is in force.
+    pub fn configured(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Whether this instance was told to stop.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Starts to leave.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+        self.apply(Event::Leave);
+    }
+
+    /// A fresh request identifier.
+    pub fn next_request(&self) -> RequestId {
+        self.next.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Queues a request. The permit that comes back has to be ended.
+    pub fn arrive(self: &Arc<Shell>, ticket: Ticket) -> Permit {
+        let (sender, admissions) = mpsc::unbounded_channel();
+        let request = ticket.request;
+        self.lock().waiters.insert(request, sender);
+        self.apply(Event::Arrived(ticket));
+        Permit { shell: self.clone(), request, admissions, running: false, tokens: 0 }
+    }
+
+    /// Writes or settles a claim. Returns what came of it and the record that stands there.
+    pub async fn claim(&self, claim: Claim) -> (ClaimOutcome, String) {
+        let (sender, decided) = oneshot::channel();
+        self.lock().claims.insert(claim.request, sender);
+        self.apply(Event::ClaimWanted(claim));
+        decided.await.unwrap_or((ClaimOutcome::Unavailable, String::new()))
+    }
+
+    /// Notes the version that a peer has in force.
+    pub fn see_version(&self, version: u64) {
+        if self.newest.fetch_max(version, Ordering::AcqRel) < version {
+            self.version_seen.notify_one();
+        }
+    }
+
+    /// The newest version that was seen anywhere.
+    pub fn newest_seen(&self) -> u64 {
+        self.newest.load(Ordering::Acquire)
+    }
+
+    /// Whether a version that the platform knows is in force, rather than a file.
+    pub fn has_version(&self) -> bool {
+        self.in_force().version > 0
+    }
+
+    /// The peer addresses of all linked instances.
+    pub fn peer_addresses(&self) -> Vec<String> {
+        self.lock().links.values().map(|l| l.address.clone()).collect()
+    }
+
+    /// Registers the channel to a peer, in place of an older one. Returns the number of the link.
+    pub fn link(&self, peer: &Peer, address: &str, sender: PeerSender) -> u64 {
+        let number = self.next_request();
+        let link = Link { number, address: address.to_owned(), sender };
+        self.lock().links.insert(peer.id(), link);
+        self.apply(Event::Linked { peer: peer.clone() });
+        number
+    }
+
+    /// Forgets the channel to a peer, if it is still this link.
+    pub fn unlink(&self, peer: Id, number: u64) {
+        let mut inner = self.lock();
+        if inner.links.get(&peer).is_some_and(|l| l.number == number) {
+            inner.links.remove(&peer);
+            drop(inner);
+            self.apply(Event::Unlinked { peer });
+        }
+    }
+
+    /// Whether there is a link to a peer.
+    pub fn linked(&self, peer: Id) -> bool {
+        self.lock().links.contains(&peer)
+    }
+
+    /// Whether there is a link to the peer with this peer address.
+    pub fn linked_to(&self, address: &str) -> bool {
+        self.lock().links.values().any(|l| l.address == address)
+    }
+}
+
+impl Inner {
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Start { request, server } => self.admit(request, Admission::Start(server)),
+            Effect::Refuse { request, refusal, retry_ms } => {
+                self.admit(request, Admission::Refuse(refusal, retry_ms));
+            }
+            Effect::Send { peer, body } => self.send(peer, body),
+            Effect::Transact { shard, claims } => {
+                let _ = self.jobs.send(Job::Transact { shard, claims });
+            }
+            Effect::Claimed { request, outcome, record } => {
+                if let Some(waiter) = self.claims.remove(&request) {
+                    let _ = waiter.send((outcome, record));
+                }
+            }
+            Effect::KeepSuspect { fingerprint, crashes } => {
+                let _ = self.jobs.send(Job::KeepSuspect { fingerprint, crashes });
+            }
+        }
+    }
+
+    fn admit(&self, request: RequestId, admission: Admission) {
+        if let Some(waiter) = self.waiters.get(&request) {
+            let _ = waiter.send(admission);
+        }
+    }
+
+    fn send(&self, peer: Id, body: Body) {
+        if let Some(link) = self.links.get(&peer) {
+            let _ = link.sender.send(Message { body: Some(body) });
+        }
+    }
+}
+
+impl InForce {
+    fn new(version: u64, document: Arc<Document>) -> InForce {
+        let servers = document.servers.iter().map(|s| {
+            let server = ServerRef {
+                id: id(&s.name),
+                name: s.name.as_str().into(),
+                address: s.address.as_str().into(),
+                engine: s.engine.is_some(),
+            };
+            (server.id, server)
+        });
+        InForce { version, keys: KeyRing::new(&document), servers: servers.collect(), document }
+    }
+}
+
+fn empty_document() -> Document {
+    Document {
+        deployment: String::new(),
+        ranks: Vec::new(),
+        models: Vec::new(),
+        services: Vec::new(),
+        servers: Vec::new(),
+        members: Vec::new(),
+        limits: agateroute_config::limits::Limits::default(),
+        routing: agateroute_config::routing::Routing::default(),
+    }
+}
+
+/// A request's place in the reducer. Dropping it returns whatever it holds.
+#[derive(Debug)]
+pub struct Permit {
+    shell: Arc<Shell>,
+    request: RequestId,
+    admissions: mpsc::UnboundedReceiver<Admission>,
+    running: bool,
+    tokens: u32,
+}
+
+impl Permit {
+    /// Waits for the next decision.
+    pub async fn admission(&mut self) -> Admission {
+        let admission = self.admissions.recv().await;
+        let admission = admission.unwrap_or(Admission::Refuse(Refusal::Failed, 0));
+        self.running = matches!(admission, Admission::Start(_));
+        admission
+    }
+
+    /// Reports the tokens generated so far.
+    pub fn progress(&mut self, tokens: u32) {
+        self.tokens = tokens;
+        self.shell.apply(Event::Progressed { request: self.request, tokens });
+    }
+
+    /// Notes tokens that are not worth a report.
+    pub fn note_tokens(&mut self, tokens: u32) {
+        self.tokens = tokens;
+    }
+
+    /// Ends the attempt. A further decision follows where it may start anew.
+    pub fn end(&mut self, end: End) {
+        if std::mem::take(&mut self.running) {
+            self.shell.apply(Event::Ended { request: self.request, end });
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let request = self.request;
+        self.shell.lock().waiters.remove(&request);
+        while let Ok(admission) = self.admissions.try_recv() {
+            self.running = matches!(admission, Admission::Start(_));
+        }
+        if self.running {
+            self.end(End::Cancelled { tokens: self.tokens });
+        } else {
+            self.shell.apply(Event::Abandoned { request });
+        }
+    }
+}
+
+/// Counts a request as in progress until it is dropped.
+#[derive(Debug)]
+pub struct ActiveGuard {
+    shell: Arc<Shell>,
+}
+
+impl ActiveGuard {
+    /// Counts a request.
+    pub fn new(shell: &Arc<Shell>) -> ActiveGuard {
+        shell.active.fetch_add(1, Ordering::AcqRel);
+        shell.telemetry.active.add(1, &[]);
+        ActiveGuard { shell: shell.clone() }
+    }
+}
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        self.shell.active.fetch_sub(1, Ordering::AcqRel);
+        self.shell.telemetry.active.add(-1, &[]);
+    }
+}
+
+/// A duration from a number of milliseconds in the document.
+pub fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
