--- /dev/null
+++ b/agaterouted/src/stream.rs
@@ -0,0 +1,375 @@
+//! Drives one generation on one backend server: opens it, passes its tokens on, resumes it when
+//! its link is cut. What to do about each chunk is decided by `agateroute_core::relay`.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use agateroute_core::event::{End, Sign};
+use agateroute_core::relay::{Arrival, Relay, Verdict};
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::StreamExt;
+use http::StatusCode;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use opentelemetry::Context;
+use opentelemetry::trace::SpanKind;
+use sse_stream::SseStream;
+
+use crate::account::{Account, Ended};
+use crate::client::{HttpClient, client};
+use crate::engine::{DONE, OPENAI, StartOrder, Usage};
+use crate::error::{ApiError, Outcome};
+use crate::shell::{Permit, ServerRef, Shell, millis};
+use crate::telemetry::{end_span, inject};
+
+/// The tokens after which progress is reported to the reducer.
+const PROGRESS_TOKENS: u64 = 32;
+/// The pause before the first resume; each further one doubles it, in milliseconds.
+const RESUME_PAUSE_MS: u64 = 20;
+/// The longest error body of an engine that is passed on, in bytes.
+const ERROR_BODY_MOST: usize = 64 * 1024;
+
+/// Why a generation could not be opened.
+#[derive(Debug)]
+pub enum OpenError {
+    /// The attempt failed and another may be made.
+    Failed(End),
+    /// The engine refused the request for what it is; another engine would too.
+    Rejected(StatusCode, Bytes),
+}
+
+/// What comes next out of a generation.
+#[derive(Debug, PartialEq)]
+pub enum Next {
+    /// A chunk for the caller, as the data of one event, with its tokens.
+    Chunk(String, u64),
+    /// The generation is whole.
+    Whole,
+    /// The generation is lost.
+    Lost,
+}
+
+/// A generation in progress. Dropping it before its end cancels it on its server.
+#[derive(Debug)]
+pub struct Generation {
+    shell: Arc<Shell>,
+    server: ServerRef,
+    http: HttpClient,
+    relay: Relay,
+    upstream: Upstream,
+    silence: Duration,
+    resumes: u32,
+    opened: Instant,
+    reported: u64,
+    usage: Option<Usage>,
+    want_usage: bool,
+    sign: Sign,
+    context: Context,
+    done: bool,
+}
+
+struct Upstream(SseStream<Incoming>);
+
+impl std::fmt::Debug for Upstream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Upstream")
+    }
+}
+
+impl Generation {
+    /// Starts a generation on a server and waits for the head of its answer.
+    pub async fn open(
+        shell: &Arc<Shell>,
+        server: &ServerRef,
+        order: &StartOrder<'_>,
+        parent: &Context,
+    ) -> Result<Generation, OpenError> {
+        let in_force = shell.in_force();
+        let routing = &in_force.document.routing;
+        let context = shell.telemetry.span("backend server", SpanKind::Client, parent);
+        let http = client(millis(routing.connect_ms));
+        let mut request = (OPENAI.start)(&server.address, order);
+        inject(&context, request.headers_mut());
+        let sent = tokio::time::timeout(millis(routing.start_ms), http.request(request)).await;
+        let failed = |end| {
+            end_span(&context, "failed");
+            OpenError::Failed(end)
+        };
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(e)) if e.is_connect() => {
+                return Err(failed(End::NotStarted { sign: Sign::Refused }));
+            }
+            Ok(Err(_)) => {
+                return Err(failed(End::Lost { tokens: 0, sign: Sign::Nothing, again: true }));
+            }
+            Err(_) => {
+                cancel(&http, &server.address, order.generation);
+                return Err(failed(End::Lost { tokens: 0, sign: Sign::Nothing, again: true }));
+            }
+        };
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(match status {
+                StatusCode::SERVICE_UNAVAILABLE => failed(End::NotStarted { sign: Sign::Leaving }),
+                s if s.is_client_error() && s != StatusCode::TOO_MANY_REQUESTS => {
+                    end_span(&context, "rejected");
+                    let body = Limited::new(response.into_body(), ERROR_BODY_MOST).collect().await;
+                    OpenError::Rejected(status, body.map(http_body_util::Collected::to_bytes).unwrap_or_default())
+                }
+                _ => failed(End::NotStarted { sign: Sign::Nothing }),
+            });
+        }
+        Ok(Generation {
+            shell: shell.clone(),
+            server: server.clone(),
+            http,
+            relay: Relay::new(order.generation, routing.resumes),
+            upstream: Upstream(SseStream::new(response.into_body())),
+            silence: millis(routing.silence_ms),
+            resumes: 0,
+            opened: Instant::now(),
+            reported: 0,
+            usage: None,
+            want_usage: false,
+            sign: Sign::Nothing,
+            context,
+            done: false,
+        })
+    }
+
+    /// Passes the usage chunk on.
+    pub fn want_usage(&mut self, want: bool) {
+        self.want_usage = want;
+    }
+
+    /// The usage, once it was seen.
+    pub fn usage(&self) -> Option<Usage> {
+        self.usage
+    }
+
+    /// The tokens passed on so far.
+    pub fn tokens(&self) -> u64 {
+        self.relay.tokens()
+    }
+
+    /// The next chunk, or how the generation ended.
+    pub async fn next(&mut self) -> Next {
+        loop {
+            let event = tokio::time::timeout(self.silence, self.upstream.0.next()).await;
+            let data = match event {
+                Ok(Some(Ok(sse))) => match sse.data {
+                    Some(data) => data,
+                    None => continue,
+                },
+                Ok(Some(Err(_)) | None) | Err(_) => String::new(),
+            };
+            let (verdict, count) = self.judge(&data);
+            match verdict {
+                Verdict::Pass => return Next::Chunk(data, count),
+                Verdict::Drop => {}
+                Verdict::Finish => {
+                    self.done = true;
+                    end_span(&self.context, "whole");
+                    return Next::Whole;
+                }
+                Verdict::Resume(from) => {
+                    if !self.resume(from).await {
+                        return self.lose();
+                    }
+                }
+                Verdict::Lost => return self.lose(),
+            }
+        }
+    }
+
+    /// Says what to do about the data of an event; empty data stands for a cut link.
+    fn judge(&mut self, data: &str) -> (Verdict, u64) {
+        if data.is_empty() {
+            return (self.relay.apply(&Arrival::Cut), 0);
+        }
+        if data == DONE {
+            return (self.relay.apply(&Arrival::Mark), 0);
+        }
+        let Ok(chunk) = (OPENAI.decode)(data) else {
+            return (self.relay.apply(&Arrival::Cut), 0);
+        };
+        if chunk.leaving {
+            self.sign = Sign::Leaving;
+        }
+        if let Some(usage) = chunk.usage {
+            let fresh = self.usage.replace(usage).is_none();
+            let pass = fresh && self.want_usage && chunk.generation == self.relay.generation();
+            return (if pass { Verdict::Pass } else { Verdict::Drop }, 0);
+        }
+        let arrival = Arrival::Chunk {
+            generation: &chunk.generation,
+            index: chunk.index,
+            count: chunk.count,
+            last: chunk.last,
+        };
+        let verdict = self.relay.apply(&arrival);
+        if verdict == Verdict::Drop {
+            self.shell.telemetry.dropped.add(1, &[]);
+        }
+        (verdict, chunk.count)
+    }
+
+    /// Asks the same server for the rest of the same generation. Returns whether there is hope.
+    async fn resume(&mut self, from: u64) -> bool {
+        let pause = RESUME_PAUSE_MS << self.resumes.min(8);
+        self.resumes += 1;
+        self.shell.telemetry.resumes.add(1, &[]);
+        spdlog::warn!("link_cut", kv: {
+            server: = &*self.server.name,
+            generation: = self.relay.generation(),
+            index = from,
+        });
+        tokio::time::sleep(millis(pause)).await;
+        let request = (OPENAI.resume)(&self.server.address, self.relay.generation(), from);
+        match tokio::time::timeout(self.silence, self.http.request(request)).await {
+            Ok(Ok(response)) if response.status() == StatusCode::OK => {
+                self.upstream = Upstream(SseStream::new(response.into_body()));
+                true
+            }
+            Ok(Ok(response)) => {
+                let gone = matches!(response.status(), StatusCode::NOT_FOUND | StatusCode::GONE);
+                self.sign = if gone { Sign::Crashed } else { self.sign };
+                false
+            }
+            Ok(Err(e)) if e.is_connect() => {
+                self.sign = Sign::Crashed;
+                false
+            }
+            Ok(Err(_)) | Err(_) => true,
+        }
+    }
+
+    fn lose(&mut self) -> Next {
+        self.done = true;
+        end_span(&self.context, "lost");
+        if self.sign != Sign::Crashed {
+            cancel(&self.http, &self.server.address, self.relay.generation());
+        }
+        Next::Lost
+    }
+
+    /// How the generation ended, for the reducer.
+    pub fn end(&self, whole: bool, again: bool) -> End {
+        let tokens = self.relay.tokens() as u32;
+        if whole {
+            End::Whole { tokens, took_ms: self.opened.elapsed().as_millis() as u32 }
+        } else {
+            End::Lost { tokens, sign: self.sign, again: again && tokens == 0 }
+        }
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        if !self.done {
+            end_span(&self.context, "cancelled");
+            cancel(&self.http, &self.server.address, self.relay.generation());
+        }
+    }
+}
+
+/// Cancels a generation on its server without waiting for the answer.
+fn cancel(http: &HttpClient, address: &str, generation: &str) {
+    let request = (OPENAI.cancel)(address, generation);
+    let http = http.clone();
+    if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+        runtime.spawn(async move {
+            let _ = tokio::time::timeout(Duration::from_secs(2), http.request(request)).await;
+        });
+    }
+}
+
+/// A generation on its way to a caller that asked for a stream.
+#[derive(Debug)]
+pub struct CallerStream {
+    generation: Generation,
+    permit: Permit,
+    account: Account,
+    first: Option<Bytes>,
+    ended: bool,
+}
+
+impl CallerStream {
+    /// A stream whose first chunks are already here.
+    pub fn new(
+        generation: Generation,
+        permit: Permit,
+        account: Account,
+        first: Bytes,
+    ) -> CallerStream {
+        CallerStream { generation, permit, account, first: Some(first), ended: false }
+    }
+
+    /// The next bytes for the caller, or none at the end.
+    pub async fn next(&mut self) -> Option<Bytes> {
+        if let Some(first) = self.first.take() {
+            return Some(first);
+        }
+        if self.ended {
+            return None;
+        }
+        match self.generation.next().await {
+            Next::Chunk(data, count) => {
+                self.note(count);
+                Some(frame(&data))
+            }
+            Next::Whole => {
+                self.ended = true;
+                self.permit.end(self.generation.end(true, false));
+                self.account.close_stream();
+                Some(frame(DONE))
+            }
+            Next::Lost => {
+                self.ended = true;
+                self.permit.end(self.generation.end(false, false));
+                self.account.close(Ended::Partial);
+                Some(frame(&lost_error().to_json(&self.account.subject.request)))
+            }
+        }
+    }
+
+    fn note(&mut self, count: u64) {
+        if count == 0 {
+            return;
+        }
+        self.account.tokens(count);
+        let tokens = self.generation.tokens();
+        self.permit.note_tokens(tokens as u32);
+        if tokens >= self.generation.reported + PROGRESS_TOKENS {
+            self.generation.reported = tokens;
+            self.permit.progress(tokens as u32);
+        }
+    }
+}
+
+/// The error for a generation that was lost after its first token.
+pub fn lost_error() -> ApiError {
+    ApiError {
+        status: StatusCode::BAD_GATEWAY,
+        code: "generation_lost",
+        message: "the backend server lost this generation; what was delivered is not whole".into(),
+        outcome: Outcome::Partial,
+        retry_ms: 0,
+    }
+}
+
+/// Writes the data of one event in the form of server-sent events.
+pub fn frame(data: &str) -> Bytes {
+    let mut out = BytesMut::with_capacity(data.len() + 8);
+    out.put_slice(b"data: ");
+    out.put_slice(data.as_bytes());
+    out.put_slice(b"\n\n");
+    out.freeze()
+}
+
+/// Whether an instance still has work in progress.
+pub fn busy(shell: &Shell) -> bool {
+    shell.active.load(Ordering::Acquire) > 0
+}
--- /dev/null
+++ b/agaterouted/src/telemetry.rs
@@ -0,0 +1,202 @@
+//! Metrics and traces by OpenTelemetry, and the metrics page.
+
+use std::time::Duration;
+
+use agateroute_config::settings::Settings;
+use http::HeaderMap;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
+use opentelemetry::trace::{SpanKind, TraceContextExt, Tracer, TracerProvider};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_otlp::WithExportConfig;
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::{Sampler, SdkTracer, SdkTracerProvider};
+use prometheus::{Registry, TextEncoder};
+
+/// The bounds of latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.047, 0.1, 0.2, 0.5, 1.2, 2.5, 5.0, 10.0, 30.0];
+
+/// Why telemetry could not be started.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("{step}: {cause}")]
+pub struct TelemetryError {
+    /// What was being set up.
+    pub step: &'static str,
+    /// What went wrong.
+    #[error(not(source))]
+    pub cause: String,
+}
+
+/// Everything that is measured.
+#[derive(Debug)]
+pub struct Telemetry {
+    /// Requests that ended, by member, kind, rank and outcome.
+    pub requests: Counter<u64>,
+    /// The time from arrival to the first token, in seconds.
+    pub first_token: Histogram<f64>,
+    /// The time from arrival to the whole answer of a plain call, in seconds.
+    pub answer: Histogram<f64>,
+    /// The time that a request waited for its permit, in seconds.
+    pub queue: Histogram<f64>,
+    /// Tokens passed on.
+    pub tokens: Counter<u64>,
+    /// Pauses between tokens longer than the target of the rank.
+    pub stalls: Counter<u64>,
+    /// Links that were cut and resumed.
+    pub resumes: Counter<u64>,
+    /// Chunks dropped since they were repeated or belonged to another generation.
+    pub dropped: Counter<u64>,
+    /// Requests in progress.
+    pub active: UpDownCounter<i64>,
+    registry: Registry,
+    meters: SdkMeterProvider,
+    tracers: SdkTracerProvider,
+    tracer: SdkTracer,
+}
+
+impl Telemetry {
+    /// Starts metrics and traces, and their export where a collector is set.
+    pub fn start(settings: &Settings) -> Result<Telemetry, TelemetryError> {
+        let resource = Resource::builder()
+            .with_service_name("agaterouted")
+            .with_attribute(KeyValue::new("service.instance.id", settings.instance.clone()))
+            .with_attribute(KeyValue::new("cloud.availability_zone", settings.zone.clone()))
+            .build();
+        let registry = Registry::new();
+        let meters = start_meters(settings, &registry, resource.clone())?;
+        let tracers = start_tracers(settings, resource)?;
+        let meter = meters.meter("agaterouted");
+        Ok(Telemetry {
+            requests: counter(&meter, "agateroute.requests", "Requests that ended"),
+            first_token: latency(&meter, "agateroute.first_token", "Arrival to first token"),
+            answer: latency(&meter, "agateroute.answer", "Arrival to whole plain answer"),
+            queue: latency(&meter, "agateroute.queue", "Arrival to permit"),
+            tokens: counter(&meter, "agateroute.tokens", "Tokens passed on"),
+            stalls: counter(&meter, "agateroute.stalls", "Pauses above the target"),
+            resumes: counter(&meter, "agateroute.resumes", "Cut links that were resumed"),
+            dropped: counter(&meter, "agateroute.dropped", "Repeated or crossed chunks dropped"),
+            active: meter
+                .i64_up_down_counter("agateroute.active")
+                .with_description("Requests in progress")
+                .build(),
+            tracer: tracers.tracer("agaterouted"),
+            registry,
+            meters,
+            tracers,
+        })
+    }
+
+    /// The metrics in the Prometheus text format.
+    pub fn metrics_page(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+
+    /// Starts a span below a context and returns the context with it.
+    pub fn span(&self, name: &'static str, kind: SpanKind, parent: &Context) -> Context {
+        let builder = self.tracer.span_builder(name).with_kind(kind);
+        let span = self.tracer.build_with_context(builder, parent);
+        parent.with_span(span)
+    }
+
+    /// Exports what is left.
+    pub fn shutdown(&self) {
+        let _ = self.tracers.shutdown_with_timeout(Duration::from_secs(2));
+        let _ = self.meters.shutdown_with_timeout(Duration::from_secs(2));
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(description).build()
+}
+
+fn latency(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_unit("s")
+        .with_description(description)
+        .with_boundaries(LATENCY_BOUNDS.to_vec())
+        .build()
+}
+
+fn start_meters(
+    settings: &Settings,
+    registry: &Registry,
+    resource: Resource,
+) -> Result<SdkMeterProvider, TelemetryError> {
+    let fail = |cause: String| TelemetryError { step: "metrics", cause };
+    let reader = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .build()
+        .map_err(|e| fail(e.to_string()))?;
+    let mut builder = SdkMeterProvider::builder().with_resource(resource).with_reader(reader);
+    if let Some(otlp) = &settings.telemetry.otlp {
+        let exporter = opentelemetry_otlp::MetricExporter::builder()
+            .with_tonic()
+            .with_endpoint(format!("http://{otlp}"))
+            .build()
+            .map_err(|e| fail(e.to_string()))?;
+        builder = builder.with_periodic_exporter(exporter);
+    }
+    Ok(builder.build())
+}
+
+fn start_tracers(
+    settings: &Settings,
+    resource: Resource,
+) -> Result<SdkTracerProvider, TelemetryError> {
+    let telemetry = &settings.telemetry;
+    let ratio = Sampler::TraceIdRatioBased(telemetry.trace_ratio);
+    let sampler = Sampler::ParentBased(Box::new(ratio));
+    let mut builder = SdkTracerProvider::builder().with_resource(resource).with_sampler(sampler);
+    if let Some(otlp) = &telemetry.otlp {
+        let exporter = opentelemetry_otlp::SpanExporter::builder()
+            .with_tonic()
+            .with_endpoint(format!("http://{otlp}"))
+            .build()
+            .map_err(|e| TelemetryError { step: "traces", cause: e.to_string() })?;
+        builder = builder.with_batch_exporter(exporter);
+    }
+    Ok(builder.build())
+}
+
+struct HeaderView<'a>(&'a HeaderMap);
+
+impl Extractor for HeaderView<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key)?.to_str().ok()
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(http::HeaderName::as_str).collect()
+    }
+}
+
+struct HeaderSlot<'a>(&'a mut HeaderMap);
+
+impl Injector for HeaderSlot<'_> {
+    fn set(&mut self, key: &str, value: String) {
+        if let (Ok(name), Ok(value)) = (key.parse::<http::HeaderName>(), value.parse()) {
+            self.0.insert(name, value);
+        }
+    }
+}
+
+/// The trace that a caller's header fields continue.
+pub fn extract(headers: &HeaderMap) -> Context {
+    TraceContextPropagator::new().extract_with_context(&Context::new(), &HeaderView(headers))
+}
+
+/// Writes a trace into the header fields of a request.
+pub fn inject(context: &Context, headers: &mut HeaderMap) {
+    TraceContextPropagator::new().inject_context(context, &mut HeaderSlot(headers));
+}
+
+/// Ends the span of a context with an outcome.
+pub fn end_span(context: &Context, outcome: &'static str) {
+    let span = context.span();
+    span.set_attribute(KeyValue::new("outcome", outcome));
+    span.end();
+}
--- /dev/null
+++ b/agatestand/src/args.rs
@@ -0,0 +1,153 @@
+//! The command line of the stand-ins.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+/// Stand-ins of the systems that agateroute works with, and the load and experiment tool.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Run model engines, one for each address
+    #[bpaf(command)]
+    Engine {
+        #[bpaf(external(engine_flags))]
+        flags: EngineFlags,
+        /// The addresses
+        #[bpaf(positional("IP:PORT"), some("an address is missing"))]
+        listen: Vec<String>,
+    },
+    /// Run plain services, one for each address
+    #[bpaf(command)]
+    Service {
+        /// The time of a call, in milliseconds
+        #[bpaf(long, argument("MS"), fallback(5), display_fallback)]
+        time: u64,
+        /// The calls worked on at once
+        #[bpaf(long, argument("N"), fallback(16), display_fallback)]
+        workers: usize,
+        /// Refuse old fencing numbers
+        #[bpaf(long)]
+        fenced: bool,
+        /// The addresses
+        #[bpaf(positional("IP:PORT"), some("an address is missing"))]
+        listen: Vec<String>,
+    },
+    /// Run the platform's services on one address
+    #[bpaf(command)]
+    Platform {
+        /// The transactions taken in a second
+        #[bpaf(long, argument("N"), fallback(400), display_fallback)]
+        writes: u32,
+        /// The reads answered in a second
+        #[bpaf(long, argument("N"), fallback(2000), display_fallback)]
+        reads: u32,
+        /// The address
+        #[bpaf(positional("IP:PORT"))]
+        listen: String,
+    },
+    /// Run every backend server of a document and the platform in this process
+    #[bpaf(command)]
+    Fleet {
+        #[bpaf(external(engine_flags))]
+        flags: EngineFlags,
+        /// The platform's address
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: Option<String>,
+        /// The document
+        #[bpaf(positional("FILE"))]
+        document: PathBuf,
+    },
+    /// Send a load and report what its callers saw
+    #[bpaf(command)]
+    Load {
+        /// The addresses of agateroute instances
+        #[bpaf(long("target"), argument("IP:PORT"), some("a target is missing"))]
+        targets: Vec<String>,
+        /// The addresses of engines whose preemptions are counted
+        #[bpaf(long("engine"), argument("IP:PORT"), many)]
+        engines: Vec<String>,
+        /// Write JSON instead of a table
+        #[bpaf(long)]
+        json: bool,
+        /// What to send
+        #[bpaf(positional("FILE"))]
+        spec: PathBuf,
+    },
+    /// Measure what agateroute adds: straight to an engine beside through an instance, in one run
+    #[bpaf(command)]
+    Bench {
+        /// The address of the engine
+        #[bpaf(long, argument("IP:PORT"))]
+        engine: String,
+        /// The address of the instance
+        #[bpaf(long, argument("IP:PORT"))]
+        target: String,
+        /// The process of the instance, whose processor time and memory are read
+        #[bpaf(long, argument("PID"))]
+        pid: Option<u32>,
+        /// A key of a member
+        #[bpaf(long, argument("KEY"))]
+        key: String,
+        /// The model
+        #[bpaf(long, argument("NAME"))]
+        model: String,
+        /// Streams at once
+        #[bpaf(long, argument("N"), fallback(64), display_fallback)]
+        streams: usize,
+        /// Requests on each way
+        #[bpaf(long, argument("N"), fallback(2000), display_fallback)]
+        requests: usize,
+        /// The longest answer, in tokens
+        #[bpaf(long, argument("N"), fallback(64), display_fallback)]
+        tokens: u64,
+    },
+    /// Stream one reading to the terminal, make an order and a lookup
+    #[bpaf(command)]
+    Tour {
+        /// The address of an instance
+        #[bpaf(long, argument("IP:PORT"))]
+        target: String,
+        /// A key of a member
+        #[bpaf(long, argument("KEY"))]
+        key: String,
+    },
+}
+
+/// What the engines are like.
+#[derive(Bpaf, Clone, Debug)]
+pub struct EngineFlags {
+    /// The memory of an engine, in tokens; of the document where there is one
+    #[bpaf(long, argument("TOKENS"), fallback(16000), display_fallback)]
+    pub memory: u64,
+    /// The largest batch; of the document where there is one
+    #[bpaf(long, argument("N"), fallback(32), display_fallback)]
+    pub batch: usize,
+    /// The time of a step, in microseconds
+    #[bpaf(long, argument("US"), fallback(5000), display_fallback)]
+    pub step: u64,
+    /// What each generation adds to a step, in microseconds
+    #[bpaf(long, argument("US"), fallback(100), display_fallback)]
+    pub step_each: u64,
+    /// The age of load reports, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(500), display_fallback)]
+    pub lag: u64,
+    /// The median output length, in tokens
+    #[bpaf(long, argument("TOKENS"), fallback(100.0), display_fallback)]
+    pub median: f64,
+    /// The deviation of the logarithm of output lengths
+    #[bpaf(long, argument("SIGMA"), fallback(1.0), display_fallback)]
+    pub deviation: f64,
+    /// The seed of output lengths
+    #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Write words instead of checkable tokens
+    #[bpaf(long)]
+    pub words: bool,
+    /// Crash when a prompt contains this text
+    #[bpaf(long, argument("TEXT"))]
+    pub poison: Option<String>,
+    /// Refuse old fencing numbers
+    #[bpaf(long)]
+    pub fenced_engines: bool,
+}
--- /dev/null
+++ b/agatestand/src/bench.rs
@@ -0,0 +1,206 @@
+//! Measures what an instance adds: the same requests straight to an engine and through the
+//! instance, taken in turns in one run.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use agatestand::load::{LoadClient, client};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use hdrhistogram::Histogram;
+use http::{Request, header};
+use http_body_util::Full;
+use serde_json::json;
+use sse_stream::SseStream;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+
+/// The clock ticks in a second that the kernel counts processor time in.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// The bytes in a page of memory.
+const PAGE_BYTES: u64 = 4096;
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct BenchPlan {
+    /// The address of the engine.
+    pub engine: String,
+    /// The address of the instance.
+    pub target: String,
+    /// The process of the instance.
+    pub pid: Option<u32>,
+    /// A key of a member.
+    pub key: String,
+    /// The model.
+    pub model: String,
+    /// Streams at once.
+    pub streams: usize,
+    /// Requests on each way.
+    pub requests: usize,
+    /// The longest answer, in tokens.
+    pub tokens: u64,
+}
+
+/// What one way showed.
+#[derive(Debug)]
+struct Way {
+    first: Histogram<u64>,
+    gaps: Histogram<u64>,
+    tokens: u64,
+    failed: u64,
+    time: Duration,
+}
+
+impl Way {
+    fn new() -> Way {
+        let histogram = || Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!("3 digits"));
+        Way { first: histogram(), gaps: histogram(), tokens: 0, failed: 0, time: Duration::ZERO }
+    }
+}
+
+/// Processor time and memory of a process.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    seconds: f64,
+    bytes: u64,
+}
+
+/// Runs the benchmark and prints its figures.
+pub async fn run(plan: &BenchPlan) {
+    let _warm = one_way(plan, &plan.target, plan.streams * 2).await;
+    let _warm = one_way(plan, &plan.engine, plan.streams * 2).await;
+    let idle = usage(plan.pid);
+    let straight = one_way(plan, &plan.engine, plan.requests).await;
+    let before = usage(plan.pid);
+    let watch = tokio::spawn(peak(plan.pid));
+    let through = one_way(plan, &plan.target, plan.requests).await;
+    watch.abort();
+    let after = usage(plan.pid);
+    let again = one_way(plan, &plan.engine, plan.requests).await;
+    print(plan, &straight, &through, &again);
+    if plan.pid.is_some() {
+        let used = after.seconds - before.seconds;
+        let added = after.bytes.saturating_sub(idle.bytes) as f64 / 1024.0;
+        println!("processor seconds of the instance: {used:.2}");
+        println!("tokens a second a core: {:.0}", through.tokens as f64 / used.max(0.01));
+        println!("requests a second a core: {:.0}", plan.requests as f64 / used.max(0.01));
+        println!("memory added, KB a stream: {:.1}", added / plan.streams as f64);
+    }
+}
+
+async fn peak(pid: Option<u32>) {
+    loop {
+        let _ = usage(pid);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn usage(pid: Option<u32>) -> Usage {
+    let read = |file: &str| {
+        let pid = pid?;
+        std::fs::read_to_string(format!("/proc/{pid}/{file}")).ok()
+    };
+    let number = |text: &str, at: usize| -> u64 {
+        text.split_whitespace().nth(at).and_then(|n| n.parse().ok()).unwrap_or(0)
+    };
+    let stat = read("stat").unwrap_or_default();
+    let rest = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = number(rest, 11) + number(rest, 12);
+    let pages = number(&read("statm").unwrap_or_default(), 1);
+    Usage { seconds: ticks as f64 / TICKS_PER_SECOND, bytes: pages * PAGE_BYTES }
+}
+
+async fn one_way(plan: &BenchPlan, address: &str, requests: usize) -> Way {
+    let way = Arc::new(Mutex::new(Way::new()));
+    let started = Instant::now();
+    let mut tasks = JoinSet::new();
+    for stream in 0..plan.streams {
+        let share = requests / plan.streams + usize::from(stream < requests % plan.streams);
+        let (plan, way) = (plan.clone(), way.clone());
+        let address = address.to_owned();
+        let client = client(false);
+        tasks.spawn(async move {
+            for n in 0..share {
+                one_request(&plan, &client, &address, stream * 1_000_000 + n, &way).await;
+            }
+        });
+    }
+    tasks.join_all().await;
+    let mut way = Arc::into_inner(way).map_or_else(Way::new, Mutex::into_inner);
+    way.time = started.elapsed();
+    way
+}
+
+async fn one_request(
+    plan: &BenchPlan,
+    client: &LoadClient,
+    address: &str,
+    number: usize,
+    way: &Mutex<Way>,
+) {
+    let body = json!({
+        "model": plan.model,
+        "stream": true,
+        "max_tokens": plan.tokens,
+        "messages": [{"role": "user", "content": format!("measure {number}")}],
+    });
+    let request = Request::post(format!("http://{address}/v1/chat/completions"))
+        .header(header::AUTHORIZATION, format!("Bearer {}", plan.key))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::<Bytes>::from(body.to_string()));
+    let Ok(request) = request else { return };
+    let started = Instant::now();
+    let answer = client.request(request).await;
+    let mut last = None;
+    let (mut first, mut gaps, mut done) = (None, Vec::new(), false);
+    if let Ok(response) = answer {
+        let mut events = SseStream::new(response.into_body());
+        while let Some(Ok(event)) = events.next().await {
+            let now = Instant::now();
+            match (event.data.as_deref(), last) {
+                (Some("[DONE]"), _) => done = true,
+                (_, None) => first = Some(now - started),
+                (_, Some(last)) => gaps.push(now - last),
+            }
+            last = Some(now);
+        }
+    }
+    let mut way = way.lock().await;
+    way.failed += u64::from(!done);
+    way.tokens += gaps.len() as u64;
+    if let Some(first) = first {
+        way.first.saturating_record(first.as_micros() as u64);
+    }
+    for gap in gaps {
+        way.gaps.saturating_record(gap.as_micros() as u64);
+    }
+}
+
+fn print(plan: &BenchPlan, straight: &Way, through: &Way, again: &Way) {
+    println!(
+        "{} requests of up to {} tokens on each way, {} at once",
+        plan.requests, plan.tokens, plan.streams
+    );
+    println!("| way | first p50 ms | first p99 ms | gap p50 ms | gap p99 ms | tokens/s | failed |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for (name, way) in [("straight", straight), ("through", through), ("straight again", again)] {
+        let ms = |h: &Histogram<u64>, q| h.value_at_quantile(q) as f64 / 1000.0;
+        println!(
+            "| {name} | {:.2} | {:.2} | {:.2} | {:.2} | {:.0} | {} |",
+            ms(&way.first, 0.5),
+            ms(&way.first, 0.99),
+            ms(&way.gaps, 0.5),
+            ms(&way.gaps, 0.99),
+            way.tokens as f64 / way.time.as_secs_f64(),
+            way.failed,
+        );
+    }
+    let added = |q| {
+        let direct = straight.first.value_at_quantile(q).min(again.first.value_at_quantile(q));
+        (through.first.value_at_quantile(q) as f64 - direct as f64) / 1000.0
+    };
+    let gap = through.gaps.value_at_quantile(0.99) as f64
+        - straight.gaps.value_at_quantile(0.99).min(again.gaps.value_at_quantile(0.99)) as f64;
+    println!("added to the first token: p50 {:.2} ms, p99 {:.2} ms", added(0.5), added(0.99));
+    println!("added between tokens: p99 {:.2} ms", gap / 1000.0);
+}
--- /dev/null
+++ b/agatestand/src/engine.rs
@@ -0,0 +1,538 @@
+//! A stand-in of a model engine: the OpenAI-compatible streaming protocol with priorities,
+//! generation ids, token indices, resume, cancel, a lagging load report, draining and fencing.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::batch::{Batch, Job};
+use crate::lengths::Lengths;
+use crate::reply;
+use crate::serve::{self, Body};
+use crate::text::{self, Form};
+
+/// How many ended generations can still be resumed.
+const ENDED_MOST: usize = 4_096;
+/// The bytes at the start of a prompt that the prefix cache looks at.
+const PREFIX_BYTES: usize = 512;
+/// The bytes of text that make one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// The token at which a poisoned generation crashes the engine.
+const POISON_TOKEN: u64 = 3;
+
+/// What an engine is like.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// The memory for prompts and answers, in tokens.
+    pub memory: u64,
+    /// The largest batch.
+    pub batch: usize,
+    /// The time of a step with an empty batch.
+    pub step: Duration,
+    /// What each generation in the batch adds to a step.
+    pub step_each: Duration,
+    /// How old load reports are.
+    pub lag: Duration,
+    /// The median output length, in tokens.
+    pub median: f64,
+    /// The deviation of the logarithm of output lengths.
+    pub deviation: f64,
+    /// The seed of the output lengths.
+    pub seed: u64,
+    /// How tokens are written.
+    pub form: Form,
+    /// A text in a prompt that crashes the engine.
+    pub poison: Option<String>,
+    /// How long the engine is away after a crash.
+    pub restart: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub fenced: bool,
+}
+
+impl Default for EngineOptions {
+    fn default() -> EngineOptions {
+        EngineOptions {
+            memory: 16_000,
+            batch: 32,
+            step: Duration::from_millis(5),
+            step_each: Duration::from_micros(100),
+            lag: Duration::from_millis(500),
+            median: 100.0,
+            deviation: 1.0,
+            seed: 1,
+            form: Form::Checking,
+            poison: None,
+            restart: Duration::from_millis(500),
+            fenced: false,
+        }
+    }
+}
+
+/// A load report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct LoadReport {
+    /// The tokens in memory.
+    pub used: u64,
+    /// The generations in the batch.
+    pub running: u32,
+    /// The generations that wait on the engine.
+    pub waiting: u32,
+    /// The preemptions since the start.
+    pub preemptions: u64,
+    /// Whether the engine is leaving.
+    pub draining: bool,
+    /// How old the report is, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A failure or change that is ordered from outside.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(tag = "action", rename_all = "snake_case")]
+pub enum Control {
+    /// Lose everything and be away for a time.
+    Crash,
+    /// Compute nothing for a time.
+    Stall {
+        /// The time, in milliseconds.
+        ms: u64,
+    },
+    /// Take no new work.
+    Drain,
+    /// Take new work again.
+    Undrain,
+}
+
+/// An order to load something or change role.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FleetOrder {
+    /// The fencing number.
+    pub fencing: u64,
+    /// `load` or `role`.
+    pub action: String,
+    /// The model, adapter or role.
+    #[serde(default)]
+    pub subject: String,
+    /// The version to load.
+    #[serde(default)]
+    pub version: String,
+}
+
+#[derive(Debug)]
+struct Generation {
+    id: String,
+    chat: bool,
+    model: String,
+    prompt: u64,
+    length: u64,
+    capped: bool,
+    progress: watch::Sender<(u64, bool)>,
+}
+
+#[derive(Debug)]
+struct State {
+    batch: Batch,
+    lengths: Lengths,
+    generations: Vec<Arc<Generation>>,
+    reports: Vec<(Instant, LoadReport)>,
+    draining: bool,
+    stalled: Option<Instant>,
+    crashed: bool,
+    fencing: u64,
+    orders: Vec<FleetOrder>,
+    started: u64,
+}
+
+/// A running engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    options: Arc<EngineOptions>,
+    state: Arc<Mutex<State>>,
+    crash: Arc<tokio::sync::Notify>,
+}
+
+impl Engine {
+    /// An idle engine.
+    pub fn new(options: EngineOptions) -> Engine {
+        let state = State::new(&options);
+        Engine {
+            options: Arc::new(options),
+            state: Arc::new(Mutex::new(state)),
+            crash: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Serves on a listener until cancelled. After a crash it comes back on the same address.
+    pub async fn run(self, listener: TcpListener, cancel: CancellationToken) {
+        let Ok(address) = listener.local_addr() else { return };
+        let mut next = Some(listener);
+        while !cancel.is_cancelled() {
+            let Some(listener) = next.take() else {
+                tokio::time::sleep(self.options.restart).await;
+                next = TcpListener::bind(address).await.ok();
+                continue;
+            };
+            let life = cancel.child_token();
+            let engine = self.clone();
+            let handler = move |request| engine.clone().handle(request);
+            let serving = serve::serve(listener, life.clone(), handler);
+            tokio::select! {
+                () = serving => {}
+                () = self.compute() => {}
+                () = self.crash.notified() => {}
+            }
+            life.cancel();
+            *self.lock() = State::new(&self.options);
+        }
+    }
+
+    async fn compute(&self) {
+        let mut at = tokio::time::Instant::now();
+        loop {
+            let time = {
+                let mut state = self.lock();
+                state.step(&self.options);
+                if std::mem::take(&mut state.crashed) {
+                    return;
+                }
+                let each = self.options.step_each * state.batch.running() as u32;
+                self.options.step + each
+            };
+            at = (at + time).max(tokio::time::Instant::now());
+            tokio::time::sleep_until(at).await;
+        }
+    }
+
+    /// Carries out a failure or change.
+    pub fn control(&self, control: &Control) {
+        let mut state = self.lock();
+        match control {
+            Control::Crash => self.crash.notify_one(),
+            Control::Stall { ms } => {
+                state.stalled = Some(Instant::now() + Duration::from_millis(*ms));
+            }
+            Control::Drain => state.draining = true,
+            Control::Undrain => state.draining = false,
+        }
+    }
+
+    /// The generations that were ever started, since the last crash.
+    pub fn started(&self) -> u64 {
+        self.lock().started
+    }
+
+    /// The load as it is now.
+    pub fn load(&self) -> LoadReport {
+        self.lock().report()
+    }
+
+    async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        match (&head.method, path) {
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                self.start(path.contains("chat"), &reply::read(body).await)
+            }
+            (&Method::GET, "/load") => {
+                let report = self.lock().lagged(self.options.lag);
+                reply::json(StatusCode::OK, &report)
+            }
+            (&Method::POST, "/control") => match serde_json::from_slice(&reply::read(body).await) {
+                Ok(control) => {
+                    self.control(&control);
+                    reply::empty(StatusCode::NO_CONTENT)
+                }
+                Err(e) => reply::json(StatusCode::BAD_REQUEST, &json!({"error": e.to_string()})),
+            },
+            (&Method::POST, "/orders") => self.order(&reply::read(body).await),
+            (&Method::GET, "/orders") => reply::json(StatusCode::OK, &self.lock().orders),
+            _ => match path.strip_prefix("/v1/generations/") {
+                Some(id) if head.method == Method::GET => self.resume(id, head.uri.query()),
+                Some(id) if head.method == Method::DELETE => self.cancel(id),
+                _ => reply::empty(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+
+    fn order(&self, body: &[u8]) -> Response<Body> {
+        let order: FleetOrder = match serde_json::from_slice(body) {
+            Ok(order) => order,
+            Err(e) => {
+                return reply::json(StatusCode::BAD_REQUEST, &json!({"error": e.to_string()}));
+            }
+        };
+        let mut state = self.lock();
+        if self.options.fenced && order.fencing < state.fencing {
+            return reply::json(StatusCode::CONFLICT, &json!({"fencing": state.fencing}));
+        }
+        state.fencing = state.fencing.max(order.fencing);
+        state.orders.push(order);
+        reply::empty(StatusCode::NO_CONTENT)
+    }
+
+    fn start(&self, chat: bool, body: &[u8]) -> Response<Body> {
+        let body: Value = match serde_json::from_slice(body) {
+            Ok(body) => body,
+            Err(e) => {
+                let error =
+                    json!({"error": {"message": e.to_string(), "type": "invalid_request_error"}});
+                return reply::json(StatusCode::BAD_REQUEST, &error);
+            }
+        };
+        let mut state = self.lock();
+        if state.draining {
+            return reply::json(StatusCode::SERVICE_UNAVAILABLE, &json!({"error": "draining"}));
+        }
+        let generation = state.begin(chat, &body, &self.options);
+        drop(state);
+        let streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
+        if streamed {
+            self.stream(generation, 0)
+        } else {
+            reply::empty(StatusCode::NOT_IMPLEMENTED)
+        }
+    }
+
+    fn resume(&self, id: &str, query: Option<&str>) -> Response<Body> {
+        let from = query.and_then(|q| q.strip_prefix("from=")).and_then(|n| n.parse().ok());
+        let found = self.lock().generations.iter().find(|g| g.id == id).cloned();
+        match found {
+            Some(generation) => self.stream(generation, from.unwrap_or(0)),
+            None => reply::empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn cancel(&self, id: &str) -> Response<Body> {
+        let mut state = self.lock();
+        state.batch.cancel(id);
+        state.generations.retain(|g| g.id != id);
+        reply::empty(StatusCode::NO_CONTENT)
+    }
+
+    fn stream(&self, generation: Arc<Generation>, from: u64) -> Response<Body> {
+        let emitter = Emitter {
+            progress: generation.progress.subscribe(),
+            generation,
+            next: from,
+            form: self.options.form,
+            engine: self.clone(),
+            ended: false,
+        };
+        let frames = stream::unfold(emitter, async |mut emitter| {
+            let bytes = emitter.next().await?;
+            Some((Ok::<_, std::convert::Infallible>(Frame::data(bytes)), emitter))
+        });
+        let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+        let kind = http::HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        response
+    }
+}
+
+impl State {
+    fn new(options: &EngineOptions) -> State {
+        State {
+            batch: Batch::new(options.memory, options.batch),
+            lengths: Lengths::new(options.median, options.deviation, options.seed),
+            generations: Vec::new(),
+            reports: Vec::new(),
+            draining: false,
+            stalled: None,
+            crashed: false,
+            fencing: 0,
+            orders: Vec::new(),
+            started: 0,
+        }
+    }
+
+    fn begin(&mut self, chat: bool, body: &Value, options: &EngineOptions) -> Arc<Generation> {
+        let text = body.get("messages").or(body.get("prompt")).map(Value::to_string);
+        let text = text.unwrap_or_default();
+        let number = |key: &str| body.get(key).and_then(Value::as_u64);
+        let id = body.get("generation_id").and_then(Value::as_str).map(str::to_owned);
+        let id = id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let most = number("max_tokens").or(number("max_completion_tokens")).unwrap_or(u64::MAX);
+        let drawn = self.lengths.draw();
+        let length = drawn.min(most);
+        let prompt = (text.len() as u64 / BYTES_PER_TOKEN).max(1);
+        let priority = number("priority").unwrap_or(0) as u8;
+        let poisoned = options.poison.as_ref().is_some_and(|p| text.contains(p));
+        let length = if poisoned { u64::MAX } else { length };
+        let generation = Arc::new(Generation {
+            id: id.clone(),
+            chat,
+            model: body.get("model").and_then(Value::as_str).unwrap_or("model").to_owned(),
+            prompt,
+            length,
+            capped: drawn > most,
+            progress: watch::Sender::new((0, false)),
+        });
+        self.batch.add(Job::new(&id, priority, prompt, prefix_of(&text), length));
+        self.generations.push(generation.clone());
+        if self.generations.len() > ENDED_MOST {
+            let at = self.generations.iter().position(|g| g.progress.borrow().1);
+            self.generations.remove(at.unwrap_or(0));
+        }
+        self.started += 1;
+        generation
+    }
+
+    fn step(&mut self, options: &EngineOptions) {
+        let now = Instant::now();
+        if self.stalled.is_none_or(|until| until <= now) {
+            self.stalled = None;
+            for progress in self.batch.step() {
+                let found = self.generations.iter().find(|g| g.id == progress.generation);
+                let Some(generation) = found else { continue };
+                generation.progress.send_replace((progress.tokens, progress.done));
+                if generation.length == u64::MAX && progress.tokens >= POISON_TOKEN {
+                    self.crashed = true;
+                }
+            }
+        }
+        let fresh =
+            self.reports.last().is_none_or(|(at, _)| now - *at >= Duration::from_millis(20));
+        if fresh {
+            let report = self.report();
+            self.reports.push((now, report));
+            let keep = options.lag + Duration::from_millis(200);
+            self.reports.retain(|(at, _)| now - *at <= keep);
+        }
+    }
+
+    fn report(&self) -> LoadReport {
+        LoadReport {
+            used: self.batch.used(),
+            running: self.batch.running() as u32,
+            waiting: self.batch.waiting() as u32,
+            preemptions: self.batch.preemptions(),
+            draining: self.draining,
+            age_ms: 0,
+        }
+    }
+
+    /// The newest report that is at least as old as the lag. Draining is told at once.
+    fn lagged(&self, lag: Duration) -> LoadReport {
+        let now = Instant::now();
+        let old = self.reports.iter().rev().find(|(at, _)| now - *at >= lag);
+        let (age, report) = match old.or(self.reports.first()) {
+            Some((at, report)) => (now - *at, report.clone()),
+            None => (Duration::ZERO, self.report()),
+        };
+        LoadReport { age_ms: age.as_millis() as u64, draining: self.draining, ..report }
+    }
+}
+
+fn prefix_of(text: &str) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let Some(start) = text.get(..PREFIX_BYTES) else { return 0 };
+    let mut hasher = DefaultHasher::new();
+    start.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Writes the chunks of a generation as they are computed. Dropping it leaves the generation
+/// running, so that a cut link can be resumed.
+struct Emitter {
+    generation: Arc<Generation>,
+    progress: watch::Receiver<(u64, bool)>,
+    next: u64,
+    form: Form,
+    engine: Engine,
+    ended: bool,
+}
+
+impl Emitter {
+    async fn next(&mut self) -> Option<Bytes> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let (tokens, done) = *self.progress.borrow_and_update();
+            if self.next < tokens || done {
+                return Some(self.chunks(tokens, done));
+            }
+            if self.progress.changed().await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    fn chunks(&mut self, tokens: u64, done: bool) -> Bytes {
+        let mut out = String::new();
+        let draining = self.engine.lock().draining;
+        while self.next < tokens {
+            let text = text::token(self.form, &self.generation.id, self.next);
+            self.push(&mut out, Some(&text), 1, draining);
+            self.next += 1;
+        }
+        if done {
+            self.push(&mut out, None, 0, draining);
+            self.push_usage(&mut out);
+            out.push_str("data: [DONE]\n\n");
+            self.ended = true;
+        }
+        Bytes::from(out)
+    }
+
+    fn push(&self, out: &mut String, text: Option<&str>, count: u64, draining: bool) {
+        let generation = &self.generation;
+        let reason = if generation.capped { "length" } else { "stop" };
+        let finish = if text.is_none() { json!(reason) } else { Value::Null };
+        let choice = if generation.chat {
+            let delta = match text {
+                Some(text) if self.next == 0 => json!({"role": "assistant", "content": text}),
+                Some(text) => json!({"content": text}),
+                None => json!({}),
+            };
+            json!({"index": 0, "delta": delta, "finish_reason": finish})
+        } else {
+            json!({"index": 0, "text": text.unwrap_or_default(), "finish_reason": finish})
+        };
+        let mut chunk = self.head();
+        chunk["choices"] = json!([choice]);
+        chunk["token_index"] = json!(self.next);
+        chunk["token_count"] = json!(count);
+        if draining {
+            chunk["draining"] = json!(true);
+        }
+        out.push_str(&format!("data: {chunk}\n\n"));
+    }
+
+    fn push_usage(&self, out: &mut String) {
+        let generation = &self.generation;
+        let mut chunk = self.head();
+        chunk["choices"] = json!([]);
+        chunk["usage"] = json!({
+            "prompt_tokens": generation.prompt,
+            "completion_tokens": self.next,
+            "total_tokens": generation.prompt + self.next,
+        });
+        out.push_str(&format!("data: {chunk}\n\n"));
+    }
+
+    fn head(&self) -> Value {
+        let generation = &self.generation;
+        let object = if generation.chat { "chat.completion.chunk" } else { "text_completion" };
+        json!({
+            "id": format!("gen-{}", generation.id),
+            "object": object,
+            "created": 0,
+            "model": generation.model,
+            "generation_id": generation.id,
+        })
+    }
+}
--- /dev/null
+++ b/agatestand/src/fault.rs
@@ -0,0 +1,137 @@
+//! A TCP proxy that injects faults between two processes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// The bytes that are passed on at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What the proxy does to traffic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Delay each chunk by this time.
+    pub delay: Duration,
+    /// Pass nothing on from the side that connected.
+    pub hold_requests: bool,
+    /// Pass nothing on from the side that was connected to.
+    pub hold_answers: bool,
+    /// Refuse new connections and cut the present ones.
+    pub cut: bool,
+    /// Cut each connection after it has passed on this many bytes of answers.
+    pub cut_after: Option<u64>,
+}
+
+/// A running proxy.
+#[derive(Clone, Debug)]
+pub struct FaultProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    faults: Arc<watch::Sender<Faults>>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy on a free port towards an address, until cancelled.
+    pub async fn start(
+        target: SocketAddr,
+        cancel: CancellationToken,
+    ) -> std::io::Result<FaultProxy> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let faults = Arc::new(watch::Sender::new(Faults::default()));
+        let proxy = FaultProxy { address, faults: faults.clone() };
+        tokio::spawn(async move {
+            loop {
+                tokio::select! {
+                    () = cancel.cancelled() => return,
+                    accepted = listener.accept() => {
+                        if let Ok((stream, _)) = accepted {
+                            tokio::spawn(pass(stream, target, faults.subscribe(), cancel.clone()));
+                        }
+                    }
+                }
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Changes what the proxy does, also to present connections.
+    pub fn set(&self, faults: Faults) {
+        self.faults.send_replace(faults);
+    }
+
+    /// Cuts all present connections once and lets new ones through.
+    pub fn cut_once(&self) {
+        let now = *self.faults.borrow();
+        self.faults.send_replace(Faults { cut: true, ..now });
+        self.faults.send_replace(Faults { cut: false, ..now });
+    }
+}
+
+async fn pass(
+    client: TcpStream,
+    target: SocketAddr,
+    mut faults: watch::Receiver<Faults>,
+    cancel: CancellationToken,
+) {
+    if faults.borrow_and_update().cut {
+        return;
+    }
+    let Ok(server) = TcpStream::connect(target).await else { return };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = server.into_split();
+    let requests = copy(from_client, to_server, faults.clone(), |f| f.hold_requests, false);
+    let answers = copy(from_server, to_client, faults.clone(), |f| f.hold_answers, true);
+    let cut = async {
+        // Any change of the faults to a cut ends the connection, even if it is undone at once.
+        let mut seen = *faults.borrow_and_update();
+        while faults.changed().await.is_ok() {
+            let now = *faults.borrow_and_update();
+            if now.cut || now == seen {
+                return;
+            }
+            seen = now;
+        }
+    };
+    tokio::select! {
+        () = async { tokio::join!(requests, answers); } => {}
+        () = cut => {}
+        () = cancel.cancelled() => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut faults: watch::Receiver<Faults>,
+    held: fn(&Faults) -> bool,
+    counted: bool,
+) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    let mut passed = 0;
+    loop {
+        let read = match from.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(read) => read,
+        };
+        let _ = faults.wait_for(|f| !held(f)).await;
+        let now = *faults.borrow();
+        tokio::time::sleep(now.delay).await;
+        let left = match now.cut_after {
+            Some(most) if counted => most.saturating_sub(passed).min(read as u64) as usize,
+            _ => read,
+        };
+        if to.write_all(&buffer[..left]).await.is_err() || left < read {
+            return;
+        }
+        passed += left as u64;
+    }
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/agatestand/src/lengths.rs
@@ -0,0 +1,33 @@
+//! Output lengths that nobody knows ahead: a seeded heavy-tailed distribution.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
+
+/// The longest output, in tokens.
+const LONGEST: f64 = 32_768.0;
+
+/// A log-normal distribution of output lengths.
+#[derive(Clone, Debug)]
+pub struct Lengths {
+    distribution: LogNormal<f64>,
+    rng: ChaCha8Rng,
+}
+
+impl Lengths {
+    /// Lengths with this median in tokens and this deviation of their logarithm.
+    pub fn new(median: f64, deviation: f64, seed: u64) -> Lengths {
+        let mean = median.max(1.0).ln();
+        let fallback = || LogNormal::new(mean, 1.0).ok();
+        let distribution = LogNormal::new(mean, deviation.abs()).ok().or_else(fallback);
+        Lengths {
+            distribution: distribution.unwrap_or_else(|| unreachable!("the deviation is finite")),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// The next length, in tokens.
+    pub fn draw(&mut self) -> u64 {
+        self.distribution.sample(&mut self.rng).clamp(1.0, LONGEST) as u64
+    }
+}
--- /dev/null
+++ b/agatestand/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins of the systems that agateroute works with, and the load and experiment tool.
+//!
+//! The stand-ins speak the same published protocols as the real systems and fail on demand. They
+//! are used by tests, by the demonstration and by measurements.
+
+pub mod batch;
+pub mod direct;
+pub mod engine;
+pub mod fault;
+pub mod lengths;
+pub mod load;
+pub mod platform;
+pub mod reply;
+pub mod results;
+pub mod serve;
+pub mod service;
+pub mod spec;
+pub mod text;
--- /dev/null
+++ b/agatestand/src/load.rs
@@ -0,0 +1,348 @@
+//! The load tool: seeded open-loop arrivals, and a reader that checks every token.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use sse_stream::SseStream;
+use tokio::sync::mpsc;
+
+use crate::direct::Spread;
+use crate::engine::LoadReport;
+use crate::results::{Ended, FlowResult, RunResult, Seen};
+use crate::spec::{Ask, Flow, LoadSpec};
+use crate::text;
+
+/// How long after the last arrival answers are waited for.
+const GRACE: Duration = Duration::from_secs(60);
+/// The bytes that make one token of a prompt.
+const BYTES_PER_TOKEN: usize = 4;
+/// The share of gaps that may be longer than the target, as one in this many.
+const SLOW_GAPS_ONE_IN: usize = 20;
+
+/// The client that load is sent with.
+pub type LoadClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Where load is sent.
+#[derive(Clone, Debug)]
+pub enum Aim {
+    /// To agateroute instances, one after the other as a balancer does.
+    Balanced(Vec<String>),
+    /// Straight to backend servers: generations by one policy, calls by another.
+    Direct {
+        /// For generations.
+        engines: Spread,
+        /// For plain calls.
+        services: Spread,
+    },
+}
+
+/// A client for load.
+pub fn client(http2: bool) -> LoadClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(2)));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .http2_only(http2)
+        .build(connector)
+}
+
+/// When each request of a flow arrives, in seconds.
+fn arrivals(flow: &Flow, seconds: f64, rng: &mut ChaCha8Rng) -> Vec<f64> {
+    let end = if flow.until > 0.0 { flow.until } else { seconds };
+    let mut at = flow.from;
+    let mut all = Vec::new();
+    if flow.rate <= 0.0 {
+        return all;
+    }
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / flow.rate;
+        if at >= end {
+            break;
+        }
+        all.push(at);
+    }
+    all
+}
+
+/// Runs a load and waits for all its answers.
+pub async fn run(spec: &LoadSpec, aim: &Aim, engines: &[String]) -> RunResult {
+    let before = preemptions(engines).await;
+    let started = Instant::now();
+    let (sender, mut seen) = mpsc::unbounded_channel();
+    let mut schedule = Vec::new();
+    for (i, flow) in spec.flows.iter().enumerate() {
+        let seed = spec.seed.wrapping_mul(1_000_003).wrapping_add(i as u64);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let times = arrivals(flow, spec.seconds, &mut rng);
+        schedule.extend(times.into_iter().enumerate().map(|(n, at)| (at, i, n)));
+    }
+    schedule.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let clients = client(false);
+    for (position, (at, flow, n)) in schedule.into_iter().enumerate() {
+        let due = started + Duration::from_secs_f64(at);
+        tokio::time::sleep_until(due.into()).await;
+        let request = Sender {
+            flow: spec.flows[flow].clone(),
+            position: flow,
+            number: n,
+            turn: position,
+            seed: spec.seed,
+            client: clients.clone(),
+            aim: aim.clone(),
+        };
+        let sender = sender.clone();
+        tokio::spawn(async move {
+            let _ = sender.send(request.send().await);
+        });
+    }
+    drop(sender);
+    let mut flows: Vec<FlowResult> =
+        spec.flows.iter().map(|f| FlowResult::new(&f.member, &f.kind, &f.rank)).collect();
+    while let Some(one) = seen.recv().await {
+        flows[one.flow].add(&one);
+    }
+    let after = preemptions(engines).await;
+    let preemptions = before.zip(after).map(|(b, a)| a.saturating_sub(b));
+    RunResult { flows, seconds: started.elapsed().as_secs_f64(), preemptions }
+}
+
+/// The preemptions that engines report.
+async fn preemptions(engines: &[String]) -> Option<u64> {
+    let client = client(false);
+    let mut sum = 0;
+    for engine in engines {
+        let request = Request::get(format!("http://{engine}/load")).body(Full::default()).ok()?;
+        let response = client.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        sum += serde_json::from_slice::<LoadReport>(&body).ok()?.preemptions;
+    }
+    Some(sum)
+}
+
+struct Sender {
+    flow: Flow,
+    position: usize,
+    number: usize,
+    turn: usize,
+    seed: u64,
+    client: LoadClient,
+    aim: Aim,
+}
+
+impl Sender {
+    async fn send(self) -> Seen {
+        let arrived = Instant::now();
+        let ended = |ended| Seen {
+            flow: self.position,
+            ended,
+            tokens: 0,
+            first_us: None,
+            gaps_us: Vec::new(),
+            stall_us: 0,
+            violations: 0,
+        };
+        let place = match (&self.aim, &self.flow.ask) {
+            (Aim::Balanced(_), _) => None,
+            (Aim::Direct { engines, .. }, Ask::Generation { .. }) => Some(engines.place().await),
+            (Aim::Direct { services, .. }, Ask::Call { .. }) => Some(services.place().await),
+        };
+        let address = match (&self.aim, &place) {
+            (Aim::Balanced(all), _) => {
+                let at = if self.flow.pinned { 0 } else { self.turn % all.len() };
+                all[at].clone()
+            }
+            (_, Some(place)) => place.address.clone(),
+            (_, None) => String::new(),
+        };
+        let Some(request) = self.request(&address) else { return ended(Ended::Broken) };
+        let answer = tokio::time::timeout(GRACE, self.client.request(request)).await;
+        let seen = match answer {
+            Ok(Ok(response)) if response.status() != StatusCode::OK => ended(refusal(&response)),
+            Ok(Ok(response)) => match self.flow.ask {
+                Ask::Generation { .. } => self.read_stream(response, arrived).await,
+                Ask::Call { .. } => self.read_answer(response, arrived).await,
+            },
+            Ok(Err(_)) | Err(_) => ended(Ended::Broken),
+        };
+        drop(place);
+        seen
+    }
+
+    fn request(&self, address: &str) -> Option<Request<Full<Bytes>>> {
+        let direct = matches!(self.aim, Aim::Direct { .. });
+        let flow = &self.flow;
+        let mut builder = Request::builder()
+            .header(header::AUTHORIZATION, format!("Bearer {}", flow.key))
+            .header("agateroute-kind", &flow.kind);
+        match &flow.ask {
+            Ask::Generation { model, prompt, most, mark } => {
+                let mut body = json!({
+                    "model": model,
+                    "stream": true,
+                    "messages": [{"role": "user", "content": self.prompt(*prompt, mark)}],
+                });
+                if *most > 0 {
+                    body["max_tokens"] = json!(most);
+                }
+                builder = builder.header(header::CONTENT_TYPE, "application/json");
+                let uri = format!("http://{address}/v1/chat/completions");
+                builder.method("POST").uri(uri).body(Full::from(body.to_string())).ok()
+            }
+            Ask::Call { service, method, path, keyed } => {
+                if *keyed {
+                    let key = format!("{}-{}-{}", self.seed, self.position, self.number);
+                    builder = builder.header("idempotency-key", key);
+                }
+                let uri = match direct {
+                    true => format!("http://{address}/{path}"),
+                    false => format!("http://{address}/v1/services/{service}/{path}"),
+                };
+                builder.method(method.as_str()).uri(uri).body(Full::from("{}")).ok()
+            }
+        }
+    }
+
+    /// A prompt of some tokens that no other request has.
+    fn prompt(&self, tokens: usize, mark: &str) -> String {
+        let head = format!("{} {} {} {mark} ", self.flow.member, self.position, self.number);
+        let filler = "wire ".repeat(tokens * BYTES_PER_TOKEN / 5);
+        head + &filler
+    }
+
+    async fn read_answer(&self, response: Response<Incoming>, arrived: Instant) -> Seen {
+        let body = response.into_body().collect().await;
+        let passed = arrived.elapsed();
+        let ended = match body {
+            Ok(_) if passed <= self.flow.targets.answer() => Ended::OnTime,
+            Ok(_) => Ended::Late,
+            Err(_) => Ended::Broken,
+        };
+        Seen {
+            flow: self.position,
+            ended,
+            tokens: 0,
+            first_us: Some(passed.as_micros() as u64),
+            gaps_us: Vec::new(),
+            stall_us: 0,
+            violations: 0,
+        }
+    }
+
+    async fn read_stream(&self, response: Response<Incoming>, arrived: Instant) -> Seen {
+        let mut reader = Reader::new(arrived);
+        let mut events = SseStream::new(response.into_body());
+        let mut ended = Ended::Broken;
+        while let Some(Ok(event)) = events.next().await {
+            let Some(data) = event.data else { continue };
+            if data == "[DONE]" {
+                ended = Ended::OnTime;
+                break;
+            }
+            if reader.take(&data) {
+                ended = Ended::Partial;
+                break;
+            }
+        }
+        let targets = &self.flow.targets;
+        let between = targets.between().as_micros() as u64;
+        let slow = reader.gaps.iter().filter(|g| **g > between).count();
+        let stall_us = reader.gaps.iter().map(|g| g.saturating_sub(between)).sum();
+        let first_late = reader.first.is_none_or(|f| f > targets.first().as_micros() as u64);
+        if ended == Ended::OnTime && (first_late || slow * SLOW_GAPS_ONE_IN > reader.gaps.len()) {
+            ended = Ended::Late;
+        }
+        Seen {
+            flow: self.position,
+            ended,
+            tokens: reader.tokens,
+            first_us: reader.first,
+            gaps_us: reader.gaps,
+            stall_us,
+            violations: reader.violations,
+        }
+    }
+}
+
+/// How an answer that is not 200 is counted.
+fn refusal(response: &Response<Incoming>) -> Ended {
+    let outcome = response.headers().get("agateroute-outcome").and_then(|v| v.to_str().ok());
+    match outcome {
+        Some("not_run") => Ended::NotRun,
+        Some("partial") => Ended::Partial,
+        Some("unknown") => Ended::Unknown,
+        _ if response.status() == StatusCode::SERVICE_UNAVAILABLE => Ended::NotRun,
+        _ => Ended::Broken,
+    }
+}
+
+/// Reads a stream and checks that each token comes once, in order, from one generation.
+struct Reader {
+    arrived: Instant,
+    last: Instant,
+    first: Option<u64>,
+    gaps: Vec<u64>,
+    tokens: u64,
+    violations: u64,
+    mark: Option<Arc<str>>,
+}
+
+impl Reader {
+    fn new(arrived: Instant) -> Reader {
+        Reader {
+            arrived,
+            last: arrived,
+            first: None,
+            gaps: Vec::new(),
+            tokens: 0,
+            violations: 0,
+            mark: None,
+        }
+    }
+
+    /// Takes the data of an event. Returns whether it is an error.
+    fn take(&mut self, data: &str) -> bool {
+        let Ok(chunk) = serde_json::from_str::<Value>(data) else {
+            self.violations += 1;
+            return false;
+        };
+        if chunk.get("error").is_some() {
+            return true;
+        }
+        let content = chunk.pointer("/choices/0/delta/content").and_then(Value::as_str);
+        if let Some(token) = content {
+            self.token(token);
+        }
+        false
+    }
+
+    fn token(&mut self, token: &str) {
+        let now = Instant::now();
+        match self.first {
+            None => self.first = Some((now - self.arrived).as_micros() as u64),
+            Some(_) => self.gaps.push((now - self.last).as_micros() as u64),
+        }
+        self.last = now;
+        match text::parse(token) {
+            Some((mark, index)) => {
+                let known = self.mark.get_or_insert_with(|| mark.into());
+                if &**known != mark || index != self.tokens {
+                    self.violations += 1;
+                }
+            }
+            None => self.violations += 1,
+        }
+        self.tokens += 1;
+    }
+}
--- /dev/null
+++ b/agatestand/src/main.rs
@@ -0,0 +1,70 @@
+//! The program that runs stand-ins, loads and measurements.
+
+mod args;
+mod bench;
+mod fleet;
+mod tour;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use agatestand::load::{self, Aim};
+use agatestand::platform::PlatformOptions;
+use agatestand::service::ServiceOptions;
+use agatestand::spec::LoadSpec;
+
+use crate::args::{Command, command};
+use crate::bench::BenchPlan;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(command().run()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("agatestand: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("read {}: {e}", path.display()))
+}
+
+async fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::Engine { flags, listen } => fleet::engines(&flags, &listen).await,
+        Command::Service { time, workers, fenced, listen } => {
+            let time = Duration::from_millis(time);
+            fleet::services(&ServiceOptions { time, workers, fenced }, &listen).await
+        }
+        Command::Platform { writes, reads, listen } => {
+            let options = PlatformOptions { writes, reads, ..PlatformOptions::default() };
+            fleet::platform(options, &listen).await
+        }
+        Command::Fleet { flags, platform, document } => {
+            let text = read(&document)?;
+            let file = document.display().to_string();
+            let document = agateroute_config::parse_document(&file, &text);
+            let document = document.map_err(|e| e.to_string())?;
+            fleet::fleet(&flags, &document, platform.as_deref()).await
+        }
+        Command::Load { targets, engines, json, spec } => {
+            let text = read(&spec)?;
+            let spec: LoadSpec = serde_saphyr::from_str(&text).map_err(|e| e.to_string())?;
+            let result = load::run(&spec, &Aim::Balanced(targets), &engines).await;
+            match json {
+                true => println!("{}", result.to_json()),
+                false => println!("{}", result.to_markdown()),
+            }
+            Ok(())
+        }
+        Command::Bench { engine, target, pid, key, model, streams, requests, tokens } => {
+            let plan = BenchPlan { engine, target, pid, key, model, streams, requests, tokens };
+            bench::run(&plan).await;
+            Ok(())
+        }
+        Command::Tour { target, key } => tour::run(&target, &key).await,
+    }
+}
--- /dev/null
+++ b/agatestand/src/service.rs
@@ -0,0 +1,202 @@
+//! A stand-in of a plain service that counts executions by key, so that a repeat is seen.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::engine::LoadReport;
+use crate::reply;
+use crate::serve::{self, Body};
+
+/// What a service is like.
+#[derive(Clone, Debug)]
+pub struct ServiceOptions {
+    /// The time that a call takes when the service is idle.
+    pub time: Duration,
+    /// The calls that it works on at once; more wait.
+    pub workers: usize,
+    /// Whether calls with an old fencing number are refused.
+    pub fenced: bool,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> ServiceOptions {
+        ServiceOptions { time: Duration::from_millis(5), workers: 16, fenced: false }
+    }
+}
+
+/// How often a key was executed.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Execution {
+    /// The member and the idempotency key.
+    pub key: String,
+    /// How often.
+    pub count: u64,
+}
+
+/// A failure that is ordered from outside.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(tag = "action", rename_all = "snake_case")]
+pub enum Control {
+    /// Execute the next calls and lose their answers.
+    LoseAnswers {
+        /// How many.
+        count: u64,
+    },
+    /// Take this much longer for each call.
+    Slow {
+        /// The time, in milliseconds.
+        ms: u64,
+    },
+    /// Take no new work.
+    Drain,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    executions: Vec<Execution>,
+    running: u32,
+    lose: u64,
+    slow: Duration,
+    draining: bool,
+    fencing: u64,
+}
+
+/// A running service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    options: Arc<ServiceOptions>,
+    state: Arc<Mutex<State>>,
+    workers: Arc<tokio::sync::Semaphore>,
+}
+
+impl Service {
+    /// An idle service.
+    pub fn new(options: ServiceOptions) -> Service {
+        let workers = Arc::new(tokio::sync::Semaphore::new(options.workers));
+        Service { options: Arc::new(options), state: Arc::default(), workers }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Serves on a listener until cancelled.
+    pub async fn run(self, listener: TcpListener, cancel: CancellationToken) {
+        let handler = move |request| self.clone().handle(request);
+        serve::serve(listener, cancel, handler).await;
+    }
+
+    /// How often each key was executed, sorted by key.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.lock().executions.clone()
+    }
+
+    /// Carries out a failure.
+    pub fn control(&self, control: &Control) {
+        let mut state = self.lock();
+        match control {
+            Control::LoseAnswers { count } => state.lose = *count,
+            Control::Slow { ms } => state.slow = Duration::from_millis(*ms),
+            Control::Drain => state.draining = true,
+        }
+    }
+
+    async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let body = reply::read(body).await;
+        match (&head.method, head.uri.path()) {
+            (&Method::GET, "/load") => reply::json(StatusCode::OK, &self.report()),
+            (&Method::GET, "/executions") => reply::json(StatusCode::OK, &self.executions()),
+            (&Method::POST, "/control") => match serde_json::from_slice(&body) {
+                Ok(control) => {
+                    self.control(&control);
+                    reply::empty(StatusCode::NO_CONTENT)
+                }
+                Err(e) => reply::json(StatusCode::BAD_REQUEST, &json!({"error": e.to_string()})),
+            },
+            _ => self.call(&head, &body).await,
+        }
+    }
+
+    fn report(&self) -> LoadReport {
+        let state = self.lock();
+        LoadReport {
+            used: u64::from(state.running),
+            running: state.running,
+            draining: state.draining,
+            ..LoadReport::default()
+        }
+    }
+
+    async fn call(&self, head: &http::request::Parts, body: &[u8]) -> Response<Body> {
+        if let Some(refusal) = self.refuse(&head.headers) {
+            return refusal;
+        }
+        let time = self.options.time + self.lock().slow;
+        self.lock().running += 1;
+        let worker = self.workers.acquire().await;
+        tokio::time::sleep(time).await;
+        drop(worker);
+        let (execution, lose) = self.execute(&head.headers);
+        if lose {
+            std::future::pending::<()>().await;
+        }
+        let answer = json!({
+            "method": head.method.as_str(),
+            "path": head.uri.path(),
+            "query": head.uri.query(),
+            "member": text(&head.headers, "agateroute-member"),
+            "execution": execution,
+            "bytes": body.len(),
+            "body": String::from_utf8_lossy(body),
+        });
+        reply::json(StatusCode::OK, &answer)
+    }
+
+    fn refuse(&self, headers: &HeaderMap) -> Option<Response<Body>> {
+        let mut state = self.lock();
+        if state.draining {
+            return Some(reply::empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let number = text(headers, "fencing-token").parse::<u64>().ok()?;
+        if self.options.fenced && number < state.fencing {
+            let known = json!({"fencing": state.fencing});
+            return Some(reply::json(StatusCode::PRECONDITION_FAILED, &known));
+        }
+        state.fencing = state.fencing.max(number);
+        None
+    }
+
+    /// Counts an execution. Returns how often its key was executed and whether to lose the answer.
+    fn execute(&self, headers: &HeaderMap) -> (u64, bool) {
+        let mut state = self.lock();
+        state.running -= 1;
+        let lose = state.lose > 0;
+        state.lose = state.lose.saturating_sub(1);
+        let key = text(headers, "idempotency-key");
+        if key.is_empty() {
+            return (1, lose);
+        }
+        let key = format!("{}/{key}", text(headers, "agateroute-member"));
+        let at = match state.executions.binary_search_by(|e| e.key.cmp(&key)) {
+            Ok(at) => at,
+            Err(at) => {
+                state.executions.insert(at, Execution { key, count: 0 });
+                at
+            }
+        };
+        state.executions[at].count += 1;
+        (state.executions[at].count, lose)
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/agatestand/src/text.rs
@@ -0,0 +1,45 @@
+//! The text of generated tokens.
+//!
+//! In its checking form each token names its generation and its index, so that a reader sees
+//! whether tokens are repeated, out of order, missing or spliced from two generations.
+
+/// The words of the reading form.
+const READING: &str = "The poem opens on a plain iamb and keeps it for two lines , then lets the \
+third foot turn over so that the stress falls on the name . What looks like a slip is the hinge of \
+the whole stanza : the voice that counted steadily now hesitates , and the reader hesitates with it \
+. The second stanza answers in shorter lines . Each of them ends on an open vowel , and the rhyme , \
+which we expected on the fourth , is held back until the last word of the page . Read it aloud \
+slowly ; the pause before the final couplet is part of the metre , not a breath .";
+
+/// How tokens are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// As generation and index.
+    Checking,
+    /// As words of a reading.
+    Reading,
+}
+
+/// The text of a token.
+pub fn token(form: Form, generation: &str, index: u64) -> String {
+    match form {
+        Form::Checking => format!("{}.{index} ", mark(generation)),
+        Form::Reading => {
+            let words = READING.split_whitespace();
+            let count = words.clone().count() as u64;
+            let word = words.clone().nth((index % count) as usize).unwrap_or(".");
+            format!("{word} ")
+        }
+    }
+}
+
+/// The part of a generation id that tokens carry.
+pub fn mark(generation: &str) -> &str {
+    generation.get(..8).unwrap_or(generation)
+}
+
+/// The generation mark and index of a token in the checking form.
+pub fn parse(token: &str) -> Option<(&str, u64)> {
+    let (mark, index) = token.trim_end().rsplit_once('.')?;
+    Some((mark, index.parse().ok()?))
+}
