--- /dev/null
+++ b/agatectl/src/config.rs
@@ -0,0 +1,172 @@
+//! Commands on the declared document.
+
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use agateroute_config::{Document, parse_document, parse_settings, reference, schema};
+use agateroute_platform::Client;
+use agateroute_platform::config::{Applied, ConfigStore, PartCache, Version};
+use agateroute_platform::objects::{Objects, S3};
+use agateroute_platform::table::{DYNAMO, Table};
+use similar::TextDiff;
+
+use crate::args::{ConfigCommand, PlatformFlags};
+use crate::error::CtlError;
+
+/// Runs a command.
+pub async fn run(command: ConfigCommand) -> Result<(), CtlError> {
+    match command {
+        ConfigCommand::Check { settings, file } => check(settings, &file),
+        ConfigCommand::Show { platform, version } => show(&platform, version).await,
+        ConfigCommand::Diff { platform, file } => diff(&platform, &file).await,
+        ConfigCommand::Apply { platform, base, apply_id, by, file } => {
+            apply(&platform, base, apply_id, &by, &file).await
+        }
+        ConfigCommand::History { platform, after, limit } => history(&platform, after, limit).await,
+        ConfigCommand::Schema { settings } => {
+            let schema =
+                if settings { schema::settings_schema() } else { schema::document_schema() };
+            println!("{schema:#}");
+            Ok(())
+        }
+        ConfigCommand::Reference => {
+            print!("{}", reference::reference_page());
+            Ok(())
+        }
+    }
+}
+
+/// The table service that flags name.
+pub fn table(flags: &PlatformFlags) -> Table {
+    let client = Client::new(Duration::from_millis(flags.timeout));
+    Table { adapter: DYNAMO, address: flags.table.clone(), client }
+}
+
+fn store(flags: &PlatformFlags) -> ConfigStore {
+    let table = table(flags);
+    let client = table.client.clone();
+    let objects = Objects { adapter: S3, address: flags.objects.clone(), client };
+    ConfigStore { table, objects }
+}
+
+fn read(file: &Path) -> Result<String, CtlError> {
+    std::fs::read_to_string(file).map_err(|cause| CtlError::File {
+        step: "read",
+        file: file.display().to_string(),
+        cause,
+    })
+}
+
+fn read_document(file: &Path) -> Result<Document, CtlError> {
+    Ok(parse_document(&file.display().to_string(), &read(file)?)?)
+}
+
+fn check(settings: bool, file: &Path) -> Result<(), CtlError> {
+    let (name, text) = (file.display().to_string(), read(file)?);
+    if settings {
+        parse_settings(&name, &text)?;
+    } else {
+        parse_document(&name, &text)?;
+    }
+    println!("{name}: no problems");
+    Ok(())
+}
+
+/// The document as YAML.
+fn to_yaml(document: &Document) -> Result<String, CtlError> {
+    serde_saphyr::to_string(document).map_err(|e| CtlError::other(format!("write YAML: {e}")))
+}
+
+async fn show(flags: &PlatformFlags, version: Option<u64>) -> Result<(), CtlError> {
+    let store = store(flags);
+    let found = match version {
+        Some(version) => store.version(version).await?,
+        None => store.head().await?,
+    };
+    let found = found.ok_or_else(|| match version {
+        Some(version) => CtlError::other(format!("version {version} does not exist")),
+        None => CtlError::other("no version is in force yet"),
+    })?;
+    let document = store.document(&found, &mut PartCache::default()).await?;
+    println!("# version {}, applied by {}", found.version, found.by);
+    print!("{}", to_yaml(&document)?);
+    Ok(())
+}
+
+/// The difference between two documents, in the order in which sections are stored.
+fn difference(old: &Document, new: &Document) -> Result<String, CtlError> {
+    let (old, new) = (normal(old)?, normal(new)?);
+    let diff = TextDiff::from_lines(&old, &new);
+    Ok(diff.unified_diff().context_radius(3).header("in force", "file").to_string())
+}
+
+/// The document as YAML in the form in which it comes back from the object store.
+fn normal(document: &Document) -> Result<String, CtlError> {
+    let mut document = document.clone();
+    document.members.sort_by(|a, b| a.name.cmp(&b.name));
+    document.servers.sort_by(|a, b| a.name.cmp(&b.name));
+    to_yaml(&document)
+}
+
+async fn diff(flags: &PlatformFlags, file: &Path) -> Result<(), CtlError> {
+    let new = read_document(file)?;
+    let store = store(flags);
+    let head = store.head().await?;
+    let head = head.ok_or_else(|| CtlError::other("no version is in force yet"))?;
+    let old = store.document(&head, &mut PartCache::default()).await?;
+    println!("# against version {}", head.version);
+    print!("{}", difference(&old, &new)?);
+    Ok(())
+}
+
+async fn apply(
+    flags: &PlatformFlags,
+    base: u64,
+    apply_id: Option<String>,
+    by: &str,
+    file: &Path,
+) -> Result<(), CtlError> {
+    let document = read_document(file)?;
+    let store = store(flags);
+    let apply_id = apply_id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+    let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    match store.apply(&document, base, &apply_id, by, at).await {
+        Ok(Applied::Accepted(version)) => {
+            println!("version {} is accepted", version.version);
+            Ok(())
+        }
+        Ok(Applied::Conflict(head)) => Err(conflict(&store, base, &head, &document).await?),
+        Err(error) => Err(CtlError::other(format!(
+            "{error}\nwhether it was accepted is not known; repeat it with --apply-id {apply_id}"
+        ))),
+    }
+}
+
+/// Says what came first, and shows how the file differs from it.
+async fn conflict(
+    store: &ConfigStore,
+    base: u64,
+    head: &Version,
+    document: &Document,
+) -> Result<CtlError, CtlError> {
+    if head.version == 0 {
+        return Ok(CtlError::other(format!("version {base} is not in force: no version is")));
+    }
+    let current = store.document(head, &mut PartCache::default()).await?;
+    Ok(CtlError::other(format!(
+        "version {base} is no longer in force: {} applied version {}\n{}",
+        head.by,
+        head.version,
+        difference(&current, document)?
+    )))
+}
+
+async fn history(flags: &PlatformFlags, after: u64, limit: usize) -> Result<(), CtlError> {
+    for version in store(flags).history(after, limit).await? {
+        println!(
+            "version={} at={} by={} apply={} manifest={}",
+            version.version, version.at, version.by, version.apply, version.manifest
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/agatectl/src/status.rs
@@ -0,0 +1,81 @@
+//! Shows what instances see.
+
+use std::time::Duration;
+
+use agateroute_platform::Client;
+use agateroute_platform::http::request;
+use serde_json::Value;
+
+use crate::error::CtlError;
+
+/// How long an instance may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Reads a page of an instance.
+pub async fn page(instance: &str, path: &str) -> Result<String, CtlError> {
+    let client = Client::new(TIMEOUT);
+    let (status, body) = client.call("read", instance, request("GET", instance, path, "")).await?;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    if status.is_success() {
+        return Ok(text);
+    }
+    Err(CtlError::other(format!("read {path} of {instance}: status {status}: {text}")))
+}
+
+/// Shows the status of instances. An instance that does not answer is said so.
+pub async fn run(json: bool, instances: &[String]) -> Result<(), CtlError> {
+    let mut failed = 0;
+    for instance in instances {
+        match page(instance, "/status").await {
+            Ok(text) if json => println!("{text}"),
+            Ok(text) => show(&serde_json::from_str(&text).unwrap_or_default()),
+            Err(error) => {
+                failed += 1;
+                eprintln!("{error}");
+            }
+        }
+    }
+    if failed == 0 {
+        return Ok(());
+    }
+    Err(CtlError::other(format!("{failed} of {} instances did not answer", instances.len())))
+}
+
+fn show(status: &Value) {
+    println!(
+        "instance={} zone={} version={} ready={} leaving={} active={} waiting={} running={}",
+        text(&status["instance"]),
+        text(&status["zone"]),
+        status["version"],
+        status["ready"],
+        status["leaving"],
+        status["active"],
+        status["waiting"],
+        status["running"],
+    );
+    for peer in status["peers"].as_array().into_iter().flatten() {
+        println!(
+            "  peer={} linked={} silent_ms={}",
+            text(&peer["instance"]),
+            peer["linked"],
+            peer["silent_ms"],
+        );
+    }
+    for server in status["servers"].as_array().into_iter().flatten() {
+        let report = &server["report"];
+        println!(
+            "  server={} closed={} waiting={} running={} account={} reported={} preemptions={}",
+            text(&server["server"]),
+            server["closed"],
+            server["waiting"],
+            server["running"],
+            server["account"],
+            report["used"],
+            report["preemptions"],
+        );
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("-")
+}
--- a/agateroute_core/src/relay.rs
+++ b/agateroute_core/src/relay.rs
@@ -48,6 +48,7 @@
     next: u64,
     ended: bool,
     resumes: u32,
+    left: u32,
     crossed: u32,
 }
 
@@ -57,7 +58,14 @@
 impl Relay {
     /// A relay that waits for the first token and may resume `resumes` times without progress.
     pub fn new(generation: impl Into<String>, resumes: u32) -> Relay {
-        Relay { generation: generation.into(), next: 0, ended: false, resumes, crossed: 0 }
+        Relay {
+            generation: generation.into(),
+            next: 0,
+            ended: false,
+            resumes,
+            left: resumes,
+            crossed: 0,
+        }
     }
 
     /// The tokens passed on so far.
@@ -94,6 +102,9 @@
             return self.cut();
         }
         self.next += count;
+        if count > 0 {
+            self.left = self.resumes;
+        }
         self.ended = last;
         Verdict::Pass
     }
@@ -102,10 +113,10 @@
         if self.ended {
             return Verdict::Finish;
         }
-        if self.resumes == 0 {
+        if self.left == 0 {
             return Verdict::Lost;
         }
-        self.resumes -= 1;
+        self.left -= 1;
         Verdict::Resume(self.next)
     }
 }
--- a/agaterouted/src/client.rs
+++ b/agaterouted/src/client.rs
@@ -3,6 +3,8 @@
 //! Each worker thread has its own clients, so that tokens cross no thread on their way.
 
 use std::cell::OnceCell;
+use std::error::Error;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -38,3 +40,17 @@
         .pool_max_idle_per_host(IDLE_MOST)
         .build(connector)
 }
+
+/// Whether an error means that nobody listens at the address. A connection that was not made in
+/// time says nothing of the sort.
+pub fn refused(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let io = error.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|e| e.kind() == ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -155,7 +155,7 @@
         .map_err(fail("callers"))?
         .run();
     let handle = server.handle().map_err(fail("callers"))?;
-    tokio::spawn(server);
+    std::thread::spawn(move || server.wait());
     Ok(move || handle.stop(false))
 }
 
@@ -170,7 +170,7 @@
         .map_err(fail("operators"))?
         .run();
     let handle = server.handle().map_err(fail("operators"))?;
-    tokio::spawn(server);
+    std::thread::spawn(move || server.wait());
     Ok(move || handle.stop(false))
 }
 
--- a/agaterouted/src/stream.rs
+++ b/agaterouted/src/stream.rs
@@ -17,7 +17,7 @@
 use sse_stream::SseStream;
 
 use crate::account::{Account, Ended};
-use crate::client::{HttpClient, client};
+use crate::client::{HttpClient, client, refused};
 use crate::engine::{DONE, OPENAI, StartOrder, Usage};
 use crate::error::{ApiError, Outcome};
 use crate::shell::{Permit, ServerRef, Shell, millis};
@@ -25,8 +25,10 @@
 
 /// The tokens after which progress is reported to the reducer.
 const PROGRESS_TOKENS: u64 = 32;
-/// The pause before the first resume; each further one doubles it, in milliseconds.
-const RESUME_PAUSE_MS: u64 = 20;
+/// The pause before the first resume; each further one doubles it.
+const RESUME_PAUSE: Duration = Duration::from_millis(10);
+/// The longest pause between two resumes.
+const RESUME_PAUSE_MOST: Duration = Duration::from_millis(300);
 /// The longest error body of an engine that is passed on, in bytes.
 const ERROR_BODY_MOST: usize = 64 * 1024;
 
@@ -59,7 +61,6 @@
     relay: Relay,
     upstream: Upstream,
     silence: Duration,
-    resumes: u32,
     opened: Instant,
     reported: u64,
     usage: Option<Usage>,
@@ -116,7 +117,10 @@
                 s if s.is_client_error() && s != StatusCode::TOO_MANY_REQUESTS => {
                     end_span(&context, "rejected");
                     let body = Limited::new(response.into_body(), ERROR_BODY_MOST).collect().await;
-                    OpenError::Rejected(status, body.map(http_body_util::Collected::to_bytes).unwrap_or_default())
+                    OpenError::Rejected(
+                        status,
+                        body.map(http_body_util::Collected::to_bytes).unwrap_or_default(),
+                    )
                 }
                 _ => failed(End::NotStarted { sign: Sign::Nothing }),
             });
@@ -128,7 +132,6 @@
             relay: Relay::new(order.generation, routing.resumes),
             upstream: Upstream(SseStream::new(response.into_body())),
             silence: millis(routing.silence_ms),
-            resumes: 0,
             opened: Instant::now(),
             reported: 0,
             usage: None,
@@ -216,34 +219,41 @@
         (verdict, chunk.count)
     }
 
-    /// Asks the same server for the rest of the same generation. Returns whether there is hope.
+    /// Asks the same server for the rest of the same generation, until it answers or the time that a
+    /// stream may be silent is over. Returns whether the stream goes on.
     async fn resume(&mut self, from: u64) -> bool {
-        let pause = RESUME_PAUSE_MS << self.resumes.min(8);
-        self.resumes += 1;
         self.shell.telemetry.resumes.add(1, &[]);
         spdlog::warn!("link_cut", kv: {
             server: = &*self.server.name,
             generation: = self.relay.generation(),
             index = from,
         });
-        tokio::time::sleep(millis(pause)).await;
-        let request = (OPENAI.resume)(&self.server.address, self.relay.generation(), from);
-        match tokio::time::timeout(self.silence, self.http.request(request)).await {
-            Ok(Ok(response)) if response.status() == StatusCode::OK => {
-                self.upstream = Upstream(SseStream::new(response.into_body()));
-                true
-            }
-            Ok(Ok(response)) => {
-                let gone = matches!(response.status(), StatusCode::NOT_FOUND | StatusCode::GONE);
-                self.sign = if gone { Sign::Crashed } else { self.sign };
-                false
-            }
-            Ok(Err(e)) if e.is_connect() => {
-                self.sign = Sign::Crashed;
-                false
+        let deadline = Instant::now() + self.silence;
+        let mut pause = RESUME_PAUSE;
+        while Instant::now() < deadline {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(RESUME_PAUSE_MOST);
+            let request = (OPENAI.resume)(&self.server.address, self.relay.generation(), from);
+            let left = deadline.saturating_duration_since(Instant::now());
+            let answer = tokio::time::timeout(left, self.http.request(request)).await;
+            let Ok(answer) = answer else { return false };
+            match answer.map(|r| (r.status(), r)) {
+                Ok((StatusCode::OK, response)) => {
+                    self.upstream = Upstream(SseStream::new(response.into_body()));
+                    return true;
+                }
+                Ok((StatusCode::NOT_FOUND | StatusCode::GONE, _)) => {
+                    self.sign = Sign::Crashed;
+                    return false;
+                }
+                Err(e) if refused(&e) => {
+                    self.sign = Sign::Crashed;
+                    return false;
+                }
+                Ok(_) | Err(_) => {}
             }
-            Ok(Err(_)) | Err(_) => true,
         }
+        false
     }
 
     fn lose(&mut self) -> Next {
--- a/agatestand/src/lengths.rs
+++ b/agatestand/src/lengths.rs
@@ -28,6 +28,6 @@
 
     /// The next length, in tokens.
     pub fn draw(&mut self) -> u64 {
-        self.distribution.sample(&mut self.rng).clamp(1.0, LONGEST) as u64
+        self.distribution.sample(&mut self.rng).clamp(1.0, LONGEST).round() as u64
     }
 }
--- a/agatestand/src/service.rs
+++ b/agatestand/src/service.rs
@@ -121,7 +121,11 @@
                 }
                 Err(e) => reply::json(StatusCode::BAD_REQUEST, &json!({"error": e.to_string()})),
             },
-            _ => self.call(&head, &body).await,
+            // The call is executed to its end even if its caller goes away.
+            _ => {
+                let call = tokio::spawn(async move { self.call(&head, &body).await });
+                call.await.unwrap_or_else(|_| reply::empty(StatusCode::INTERNAL_SERVER_ERROR))
+            }
         }
     }
 
