Use connections to engines again after a stream

Cause: the relay stopped reading at the end mark, so the connection was dropped with its last bytes unread and every request connected anew. Change: what comes after the mark is read.

--- a/agaterouted/src/stream.rs
+++ b/agaterouted/src/stream.rs
@@ -8,13 +8,13 @@
 use agateroute_core::event::{End, Sign};
 use agateroute_core::relay::{Arrival, Relay, Verdict};
 use bytes::{BufMut, Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{FutureExt, StreamExt};
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use opentelemetry::Context;
 use opentelemetry::trace::SpanKind;
-use sse_stream::SseStream;
+use sse_stream::{Sse, SseStream};
 
 use crate::account::{Account, Ended};
 use crate::client::{HttpClient, client, refused};
@@ -27,6 +27,8 @@
 const PROGRESS_TOKENS: u64 = 32;
 /// The pause before the first resume; each further one doubles it.
 const RESUME_PAUSE: Duration = Duration::from_millis(10);
+/// How long the end of an answer is waited for after its end mark.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
 /// The longest pause between two resumes.
 const RESUME_PAUSE_MOST: Duration = Duration::from_millis(300);
 /// The longest error body of an engine that is passed on, in bytes.
@@ -59,7 +61,7 @@
     server: ServerRef,
     http: HttpClient,
     relay: Relay,
-    upstream: Upstream,
+    upstream: Option<Upstream>,
     silence: Duration,
     opened: Instant,
     reported: u64,
@@ -130,7 +132,7 @@
             server: server.clone(),
             http,
             relay: Relay::new(order.generation, routing.resumes),
-            upstream: Upstream(SseStream::new(response.into_body())),
+            upstream: Some(Upstream(SseStream::new(response.into_body()))),
             silence: millis(routing.silence_ms),
             opened: Instant::now(),
             reported: 0,
@@ -160,7 +162,7 @@
     /// The next chunk, or how the generation ended.
     pub async fn next(&mut self) -> Next {
         loop {
-            let event = tokio::time::timeout(self.silence, self.upstream.0.next()).await;
+            let event = tokio::time::timeout(self.silence, self.event()).await;
             let data = match event {
                 Ok(Some(Ok(sse))) => match sse.data {
                     Some(data) => data,
@@ -174,6 +176,7 @@
                 Verdict::Drop => {}
                 Verdict::Finish => {
                     self.done = true;
+                    self.drain();
                     end_span(&self.context, "whole");
                     return Next::Whole;
                 }
@@ -187,6 +190,24 @@
         }
     }
 
+    async fn event(&mut self) -> Option<Result<Sse, sse_stream::Error>> {
+        match &mut self.upstream {
+            Some(upstream) => upstream.0.next().await,
+            None => None,
+        }
+    }
+
+    /// Reads what comes after the end mark, so that the connection can be used again.
+    fn drain(&mut self) {
+        let Some(mut upstream) = self.upstream.take() else { return };
+        if upstream.0.next().now_or_never().is_some() {
+            return;
+        }
+        tokio::spawn(async move {
+            let _ = tokio::time::timeout(DRAIN_TIME, upstream.0.next()).await;
+        });
+    }
+
     /// Says what to do about the data of an event; empty data stands for a cut link.
     fn judge(&mut self, data: &str) -> (Verdict, u64) {
         if data.is_empty() {
@@ -239,7 +260,7 @@
             let Ok(answer) = answer else { return false };
             match answer.map(|r| (r.status(), r)) {
                 Ok((StatusCode::OK, response)) => {
-                    self.upstream = Upstream(SseStream::new(response.into_body()));
+                    self.upstream = Some(Upstream(SseStream::new(response.into_body())));
                     return true;
                 }
                 Ok((StatusCode::NOT_FOUND | StatusCode::GONE, _)) => {
