Compare policies on the same seeded load

Change: agatestand compare runs a case under round robin, least outstanding, fixed slots and agateroute, with lengths drawn from the prompt so that each policy gets the same work.

--- a/agaterouted/tests/bed/mod.rs
+++ b/agaterouted/tests/bed/mod.rs
@@ -298,7 +298,12 @@
     let request = Request::get(format!("http://{address}{path}")).body(Full::default());
     let answer = client(false).request(request.expect("a request")).await;
     let Ok(response) = answer else { return Value::Null };
-    let body = response.into_body().collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
     serde_json::from_slice(&body).unwrap_or_default()
 }
 
--- a/agatestand/src/args.rs
+++ b/agatestand/src/args.rs
@@ -102,6 +102,37 @@
         #[bpaf(long, argument("N"), fallback(64), display_fallback)]
         tokens: u64,
     },
+    /// Run a case of the experiment under each baseline and through agateroute
+    #[bpaf(command)]
+    Compare {
+        /// The document of the fleet
+        #[bpaf(long, argument("FILE"))]
+        document: PathBuf,
+        /// The addresses of agateroute instances
+        #[bpaf(long("target"), argument("IP:PORT"), some("a target is missing"))]
+        targets: Vec<String>,
+        /// Generations in a second at 80 percent of the capacity
+        #[bpaf(long, argument("N"), fallback(30.0), display_fallback)]
+        rate: f64,
+        /// How long requests arrive, in seconds
+        #[bpaf(long, argument("S"), fallback(30.0), display_fallback)]
+        seconds: f64,
+        /// The seed of arrivals
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// The slots on each server of a baseline with fixed slots
+        #[bpaf(long("slots"), argument("N"), many)]
+        slots: Vec<usize>,
+        /// Crash an engine in the middle of each run
+        #[bpaf(long)]
+        crash: bool,
+        /// Leave the baselines out
+        #[bpaf(long)]
+        alone: bool,
+        /// steady, deferrable-flood, urgent-flood or greedy-members
+        #[bpaf(positional("CASE"))]
+        case: String,
+    },
     /// Stream one reading to the terminal, make an order and a lookup
     #[bpaf(command)]
     Tour {
--- /dev/null
+++ b/agatestand/src/cases.rs
@@ -0,0 +1,133 @@
+//! The cases of the experiment, built from a document.
+
+use agateroute_config::Document;
+
+use crate::spec::{Ask, Flow, LoadSpec, Targets};
+
+/// A case of the experiment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Case {
+    /// Load at 80 percent of the capacity.
+    Steady,
+    /// Three times the deferrable work.
+    DeferrableFlood,
+    /// Three times what the engines can take, of urgent work.
+    UrgentFlood,
+    /// Two small members ask for ten times as much.
+    GreedyMembers,
+}
+
+/// The tokens of the prompt of a deferrable generation.
+const DRAFT_PROMPT: usize = 300;
+/// The tokens of the prompt of an urgent generation.
+const QUOTE_PROMPT: usize = 100;
+/// The longest urgent generation, in tokens.
+const QUOTE_MOST: u64 = 40;
+/// The share of the load that is urgent generations, by requests.
+const QUOTE_SHARE: f64 = 0.25;
+/// Plain calls in a second, of all members together.
+const CALL_RATE: f64 = 30.0;
+
+impl Case {
+    /// Finds a case by its name.
+    pub fn parse(name: &str) -> Option<Case> {
+        match name {
+            "steady" => Some(Case::Steady),
+            "deferrable-flood" => Some(Case::DeferrableFlood),
+            "urgent-flood" => Some(Case::UrgentFlood),
+            "greedy-members" => Some(Case::GreedyMembers),
+            _ => None,
+        }
+    }
+
+    /// The factor on a member's deferrable and urgent work.
+    fn factors(self, position: usize, members: usize) -> (f64, f64) {
+        match self {
+            Case::Steady => (1.0, 1.0),
+            Case::DeferrableFlood => (3.0, 1.0),
+            Case::UrgentFlood => (1.0, 12.0),
+            Case::GreedyMembers if position + 2 >= members => (10.0, 1.0),
+            Case::GreedyMembers => (1.0, 1.0),
+        }
+    }
+
+    /// The load of this case. `rate` is the generations in a second at 80 percent of the capacity.
+    pub fn spec(self, document: &Document, rate: f64, seconds: f64, seed: u64) -> LoadSpec {
+        let owed: f64 = document.members.iter().map(|m| f64::from(m.share)).sum();
+        let count = document.members.len();
+        let mut flows = Vec::new();
+        for (i, member) in document.members.iter().enumerate() {
+            let part = f64::from(member.share) / owed;
+            let (deferrable, urgent) = self.factors(i, count);
+            let base = Flow {
+                member: member.name.clone(),
+                key: format!("{}-key", member.name),
+                kind: String::new(),
+                rank: String::new(),
+                rate: 0.0,
+                from: 0.0,
+                until: 0.0,
+                pinned: false,
+                ask: Ask::Generation {
+                    model: String::new(),
+                    prompt: 0,
+                    most: 0,
+                    mark: String::new(),
+                },
+                targets: Targets { first_token_ms: 0, between_tokens_ms: 0, answer_ms: 0 },
+            };
+            let drafts = rate * part * (1.0 - QUOTE_SHARE) * deferrable;
+            let quotes = rate * part * QUOTE_SHARE * urgent;
+            flows.extend(generation(document, &base, false, drafts));
+            flows.extend(generation(document, &base, true, quotes));
+            flows.extend(call(document, &base, CALL_RATE * part));
+        }
+        LoadSpec { seed, seconds, flows }
+    }
+}
+
+fn targets(document: &Document, rank: usize) -> Targets {
+    let rank = &document.ranks[rank];
+    Targets {
+        first_token_ms: rank.first_token_ms,
+        between_tokens_ms: rank.between_tokens_ms,
+        answer_ms: rank.answer_ms,
+    }
+}
+
+/// The flow of a member's urgent or deferrable generations, if the document has such a kind.
+fn generation(document: &Document, base: &Flow, urgent: bool, rate: f64) -> Option<Flow> {
+    let found = document.models.iter().flat_map(|m| m.kinds.iter().map(move |k| (m, k)));
+    let mut kinds = found.filter_map(|(m, k)| Some((m, k, document.rank_index(&k.rank)?)));
+    let (model, kind, rank) = kinds.find(|(_, _, rank)| (*rank == 0) == urgent)?;
+    let (prompt, most) = if urgent { (QUOTE_PROMPT, QUOTE_MOST) } else { (DRAFT_PROMPT, 0) };
+    let mark = String::new();
+    Some(Flow {
+        kind: kind.name.clone(),
+        rank: kind.rank.clone(),
+        rate,
+        ask: Ask::Generation { model: model.name.clone(), prompt, most, mark },
+        targets: targets(document, rank),
+        ..base.clone()
+    })
+}
+
+/// The flow of a member's repeatable plain calls, if the document has any.
+fn call(document: &Document, base: &Flow, rate: f64) -> Option<Flow> {
+    let service = document.services.first()?;
+    let call = service.calls.iter().find(|c| c.repeatable)?;
+    let rank = document.rank_index(&call.rank)?;
+    Some(Flow {
+        kind: call.kind.clone(),
+        rank: call.rank.clone(),
+        rate,
+        ask: Ask::Call {
+            service: service.name.clone(),
+            method: call.method.clone(),
+            path: format!("{}/item", call.path),
+            keyed: false,
+        },
+        targets: targets(document, rank),
+        ..base.clone()
+    })
+}
--- /dev/null
+++ b/agatestand/src/compare.rs
@@ -0,0 +1,146 @@
+//! The experiment: the same load under each baseline and through agateroute, in one run.
+
+use std::time::Duration;
+
+use agateroute_config::Document;
+use agatestand::cases::Case;
+use agatestand::direct::{Policy, Spread};
+use agatestand::engine::Control;
+use agatestand::load::{self, Aim, client};
+use agatestand::results::{FlowResult, RunResult};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+/// The time in which engines come to rest between two runs.
+const REST: Duration = Duration::from_secs(2);
+
+/// What to compare.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The document of the fleet.
+    pub document: Document,
+    /// The addresses of agateroute instances.
+    pub targets: Vec<String>,
+    /// The case.
+    pub case: Case,
+    /// Generations in a second at 80 percent of the capacity.
+    pub rate: f64,
+    /// How long requests arrive, in seconds.
+    pub seconds: f64,
+    /// The seed.
+    pub seed: u64,
+    /// The slots on each server of the baselines with fixed slots.
+    pub slots: Vec<usize>,
+    /// Whether an engine crashes in the middle of each run.
+    pub crash: bool,
+    /// Whether the baselines are left out.
+    pub alone: bool,
+}
+
+/// Runs the comparison and prints a table.
+pub async fn run(plan: &Plan) {
+    let addresses = |engine: bool| -> Vec<String> {
+        let servers = plan.document.servers.iter().filter(|s| s.engine.is_some() == engine);
+        servers.map(|s| s.address.clone()).collect()
+    };
+    let (engines, services) = (addresses(true), addresses(false));
+    let mut policies = vec![
+        ("round robin".to_owned(), Policy::RoundRobin),
+        ("least outstanding".to_owned(), Policy::LeastOutstanding),
+    ];
+    let slots = plan.slots.iter().map(|n| (format!("{n} slots"), Policy::FixedSlots(*n)));
+    policies.extend(slots);
+    if plan.alone {
+        policies.clear();
+    }
+    let mut results = Vec::new();
+    for (name, policy) in policies {
+        let spread = Spread::new(policy, &engines);
+        let calls = Spread::new(Policy::LeastOutstanding, &services);
+        let aim = Aim::Direct { engines: spread, services: calls };
+        results.push((name, one_run(plan, &aim, &engines).await));
+    }
+    let aim = Aim::Balanced(plan.targets.clone());
+    results.push(("agateroute".to_owned(), one_run(plan, &aim, &engines).await));
+    print(plan, &results);
+}
+
+async fn one_run(plan: &Plan, aim: &Aim, engines: &[String]) -> RunResult {
+    let spec = plan.case.spec(&plan.document, plan.rate, plan.seconds, plan.seed);
+    let crash = plan.crash.then(|| engines[0].clone());
+    let half = Duration::from_secs_f64(plan.seconds / 2.0);
+    if let Some(engine) = crash {
+        tokio::spawn(async move {
+            tokio::time::sleep(half).await;
+            let body = serde_json::to_vec(&Control::Crash).unwrap_or_default();
+            let request = Request::post(format!("http://{engine}/control"));
+            if let Ok(request) = request.body(Full::<Bytes>::from(body)) {
+                let _ = client(false).request(request).await;
+            }
+        });
+    }
+    let result = load::run(&spec, aim, engines).await;
+    tokio::time::sleep(REST).await;
+    result
+}
+
+fn print(plan: &Plan, results: &[(String, RunResult)]) {
+    println!(
+        "case {:?}, seed {}, {} s of arrivals, {} generations/s at 80 percent\n",
+        plan.case, plan.seed, plan.seconds, plan.rate
+    );
+    println!(
+        "| policy | generations | on time | preemptions/1000 | stall ms each | gap p95 ms | gap p99 ms | \
+         first p50 ms | urgent generations on time | calls on time | not run | partial | broken | \
+         violations |"
+    );
+    println!("|{}", " --- |".repeat(14));
+    for (name, result) in results {
+        print_row(plan, name, result);
+    }
+    println!();
+    for (name, result) in results {
+        println!("{name}: share on time by member, deferrable generations");
+        let deferrable: Vec<&FlowResult> =
+            result.flows.iter().filter(|f| is_generation(plan, f) && !urgent(plan, f)).collect();
+        let shares = deferrable.iter().map(|f| {
+            format!("{} {:.2} of {} ({} tokens)", f.member, f.on_time(), f.total(), f.tokens)
+        });
+        println!("  {}", shares.collect::<Vec<_>>().join(", "));
+    }
+}
+
+fn is_generation(plan: &Plan, flow: &FlowResult) -> bool {
+    plan.document.models.iter().any(|m| m.kinds.iter().any(|k| k.name == flow.kind))
+}
+
+fn urgent(plan: &Plan, flow: &FlowResult) -> bool {
+    plan.document.rank_index(&flow.rank) == Some(0)
+}
+
+fn print_row(plan: &Plan, name: &str, result: &RunResult) {
+    let generations = result.sum("generations", |f| is_generation(plan, f));
+    let urgent_ones = result.sum("urgent", |f| is_generation(plan, f) && urgent(plan, f));
+    let calls = result.sum("calls", |f| !is_generation(plan, f));
+    let all = result.sum("all", |_| true);
+    let ms = |us: u64| us as f64 / 1000.0;
+    let preemptions = result
+        .preemptions
+        .map_or(f64::NAN, |p| 1000.0 * p as f64 / generations.total().max(1) as f64);
+    println!(
+        "| {name} | {} | {:.3} | {preemptions:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.3} | {:.3} | {} | {} | {} | {} |",
+        generations.total(),
+        generations.on_time(),
+        generations.stall_ms(),
+        ms(generations.gaps.value_at_quantile(0.95)),
+        ms(generations.gaps.value_at_quantile(0.99)),
+        ms(generations.first.value_at_quantile(0.5)),
+        urgent_ones.on_time(),
+        calls.on_time(),
+        all.ended[2],
+        all.ended[3],
+        all.ended[5],
+        all.violations,
+    );
+}
--- a/agatestand/src/engine.rs
+++ b/agatestand/src/engine.rs
@@ -365,7 +365,7 @@
         let id = body.get("generation_id").and_then(Value::as_str).map(str::to_owned);
         let id = id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
         let most = number("max_tokens").or(number("max_completion_tokens")).unwrap_or(u64::MAX);
-        let drawn = self.lengths.draw();
+        let drawn = self.lengths.draw(&text);
         let length = drawn.min(most);
         let prompt = (text.len() as u64 / BYTES_PER_TOKEN).max(1);
         let priority = number("priority").unwrap_or(0) as u8;
--- a/agatestand/src/fleet.rs
+++ b/agatestand/src/fleet.rs
@@ -14,8 +14,8 @@
 
 use crate::args::EngineFlags;
 
-/// The options that flags describe. `number` tells one engine's seed from another's.
-pub fn engine_options(flags: &EngineFlags, number: u64) -> EngineOptions {
+/// The options that flags describe.
+pub fn engine_options(flags: &EngineFlags) -> EngineOptions {
     EngineOptions {
         memory: flags.memory,
         batch: flags.batch,
@@ -24,7 +24,7 @@
         lag: Duration::from_millis(flags.lag),
         median: flags.median,
         deviation: flags.deviation,
-        seed: flags.seed.wrapping_mul(1_009).wrapping_add(number),
+        seed: flags.seed,
         form: if flags.words { Form::Reading } else { Form::Checking },
         poison: flags.poison.clone(),
         fenced: flags.fenced_engines,
@@ -39,8 +39,8 @@
 /// Runs engines on addresses until they end.
 pub async fn engines(flags: &EngineFlags, addresses: &[String]) -> Result<(), String> {
     let mut tasks = JoinSet::new();
-    for (i, address) in addresses.iter().enumerate() {
-        let engine = Engine::new(engine_options(flags, i as u64));
+    for address in addresses {
+        let engine = Engine::new(engine_options(flags));
         tasks.spawn(engine.run(bind(address).await?, CancellationToken::new()));
     }
     tasks.join_all().await;
@@ -75,9 +75,9 @@
         let platform = Platform::new(PlatformOptions::default());
         tasks.spawn(platform.run(bind(address).await?, CancellationToken::new()));
     }
-    for (i, server) in document.servers.iter().enumerate() {
+    for server in &document.servers {
         let listener = bind(&server.address).await?;
-        start_server(&mut tasks, flags, server, i as u64, listener);
+        start_server(&mut tasks, flags, server, listener);
     }
     tasks.join_all().await;
     Ok(())
@@ -87,7 +87,6 @@
     tasks: &mut JoinSet<()>,
     flags: &EngineFlags,
     server: &Server,
-    number: u64,
     listener: TcpListener,
 ) {
     let fenced = server.fencing == Fencing::Refuses;
@@ -97,7 +96,7 @@
             memory: engine.memory_tokens,
             batch: engine.batch as usize,
             fenced,
-            ..engine_options(flags, number)
+            ..engine_options(flags)
         };
         tasks.spawn(Engine::new(options).run(listener, cancel));
     } else {
--- a/agatestand/src/lengths.rs
+++ b/agatestand/src/lengths.rs
@@ -1,5 +1,7 @@
 //! Output lengths that nobody knows ahead: a seeded heavy-tailed distribution.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
@@ -11,7 +13,7 @@
 #[derive(Clone, Debug)]
 pub struct Lengths {
     distribution: LogNormal<f64>,
-    rng: ChaCha8Rng,
+    seed: u64,
 }
 
 impl Lengths {
@@ -22,12 +24,16 @@
         let distribution = LogNormal::new(mean, deviation.abs()).ok().or_else(fallback);
         Lengths {
             distribution: distribution.unwrap_or_else(|| unreachable!("the deviation is finite")),
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            seed,
         }
     }
 
-    /// The next length, in tokens.
-    pub fn draw(&mut self) -> u64 {
-        self.distribution.sample(&mut self.rng).clamp(1.0, LONGEST).round() as u64
+    /// The length of the answer to a prompt, in tokens. The same prompt gets the same length, so that
+    /// policies can be compared on the same work.
+    pub fn draw(&self, prompt: &str) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, prompt).hash(&mut hasher);
+        let mut rng = ChaCha8Rng::seed_from_u64(hasher.finish());
+        self.distribution.sample(&mut rng).clamp(1.0, LONGEST).round() as u64
     }
 }
--- a/agatestand/src/lib.rs
+++ b/agatestand/src/lib.rs
@@ -4,6 +4,7 @@
 //! are used by tests, by the demonstration and by measurements.
 
 pub mod batch;
+pub mod cases;
 pub mod direct;
 pub mod engine;
 pub mod fault;
--- a/agatestand/src/main.rs
+++ b/agatestand/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod bench;
+mod compare;
 mod fleet;
 mod tour;
 
@@ -9,6 +10,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use agatestand::cases::Case;
 use agatestand::load::{self, Aim};
 use agatestand::platform::PlatformOptions;
 use agatestand::service::ServiceOptions;
@@ -65,6 +67,17 @@
             bench::run(&plan).await;
             Ok(())
         }
+        Command::Compare { document, targets, case, rate, seconds, seed, slots, crash, alone } => {
+            let text = read(&document)?;
+            let file = document.display().to_string();
+            let document = agateroute_config::parse_document(&file, &text);
+            let document = document.map_err(|e| e.to_string())?;
+            let case = Case::parse(&case).ok_or(format!("case {case:?} does not exist"))?;
+            let plan =
+                compare::Plan { document, targets, case, rate, seconds, seed, slots, crash, alone };
+            compare::run(&plan).await;
+            Ok(())
+        }
         Command::Tour { target, key } => tour::run(&target, &key).await,
     }
 }
