--- a/agateroute_config/src/routing.rs
+++ b/agateroute_config/src/routing.rs
@@ -25,9 +25,10 @@
         /// How often load reports are read, in milliseconds.
         #[schemars(range(min = 10))]
         pub report_ms: u64,
-        /// How often progress and releases are sent between instances, in milliseconds.
+        /// How often an owner tells the load of a backend server to the instances that asked for it
+        /// lately, in milliseconds. Raise it in proportion to the number of instances.
         #[schemars(range(min = 10))]
-        pub batch_ms: u64,
+        pub load_ms: u64,
         /// The silence after which a peer counts as gone, in milliseconds.
         #[schemars(range(min = 100))]
         pub peer_ms: u64,
@@ -41,6 +42,9 @@
         pub deviations: f64,
         /// How long an instance that was told to stop keeps serving new requests, in milliseconds.
         pub notice_ms: u64,
+        /// How often tallies are written to the table service, in milliseconds.
+        #[schemars(range(min = 100))]
+        pub tally_ms: u64,
         /// How long the record of a call that may not be repeated is kept, in hours.
         #[schemars(range(min = 24))]
         pub record_hours: u32,
@@ -64,11 +68,12 @@
             retries: 2,
             retry_percent: 10,
             report_ms: 500,
-            batch_ms: 100,
+            load_ms: 100,
             peer_ms: 2_000,
             fallback_percent: 25,
             deviations: 2.0,
             notice_ms: 2_000,
+            tally_ms: 10_000,
             record_hours: 48,
             repeat_ms: 10_000,
             claim_ms: 200,
--- a/agateroute_core/src/admission.rs
+++ b/agateroute_core/src/admission.rs
@@ -47,7 +47,8 @@
     match desk.capacity {
         Capacity::Engine { memory, batch } => {
             let batch = (f64::from(batch) * part).max(1.0) as usize;
-            desk.running.len() < batch && memory_room(desk, waiting, memory as f64 * part, around)
+            let running = desk.running.len() + desk.foreign_running(around.now);
+            running < batch && memory_room(desk, waiting, memory as f64 * part, around)
         }
         Capacity::Slots(_) => {
             let allowed = (desk.limit.allowed() as f64 * part).max(1.0) as usize;
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -4,8 +4,9 @@
 //! See `docs/DESIGN.md`, "Admission across instances".
 
 use agateroute_proto::peers::message::Body;
-use agateroute_proto::peers::{Ask, Deny, DenyReason, Grant, Hold, Release};
+use agateroute_proto::peers::{Ask, Deny, DenyReason, Grant, Hold, Load, Release};
 
+use crate::Table;
 use crate::admission;
 use crate::catalog::{Capacity, Catalog};
 use crate::estimate::{Class, Estimator};
@@ -29,6 +30,10 @@
 const DEVIATIONS_DOWN: f32 = 0.01;
 /// The most deviations that are kept free.
 const DEVIATIONS_MOST: f32 = 8.0;
+/// How long a peer that asked is told of the load, in milliseconds.
+const ASKER_MS: Millis = 3_000;
+/// The change of the load that is worth telling, in thousandths of what the server can take.
+const LOAD_STEP: u32 = 20;
 /// The weight of the newest interval in the mean interval between permits.
 const INTERVAL_WEIGHT: f64 = 0.1;
 
@@ -91,9 +96,11 @@
         pub acting: bool,
         /// When the desk was set up.
         pub since: Millis,
-        samples: Vec<(Millis, u64)>,
+        samples: Vec<Sample>,
         interval: Option<f64>,
         granted: Millis,
+        askers: Table<Id, Millis>,
+        told: (Millis, u32),
     }
 }
 
@@ -108,6 +115,15 @@
     pub now: Millis,
 }
 
+value! {
+    /// The desk's own account at a moment, to compare with lagging reports.
+    struct Sample {
+        at: Millis,
+        used: u64,
+        running: u64,
+    }
+}
+
 /// A message for a peer.
 pub type Reply = (Id, Body);
 
@@ -131,6 +147,8 @@
             acting: false,
             since: now,
             samples: Vec::new(),
+            askers: Table::default(),
+            told: (now, 0),
             interval: None,
             granted: now,
         }
@@ -142,6 +160,7 @@
 
     /// Queues an ask. Asking again for the same request changes nothing.
     pub fn ask(&mut self, peer: Id, ask: Ask, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        self.askers.insert(peer, around.now);
         if let Ok(at) = self.held_at(peer, ask.request) {
             let request = self.running[at].request;
             out.push((peer, self.grant_message(request)));
@@ -326,6 +345,19 @@
         }
     }
 
+    /// Tells the load to the peers that asked lately, if it has changed.
+    pub fn tell_load(&mut self, load_ms: Millis, now: Millis, out: &mut Vec<Reply>) {
+        let (at, last) = self.told;
+        let pressure = self.pressure();
+        if now < at + load_ms || pressure.abs_diff(last) < LOAD_STEP {
+            return;
+        }
+        self.told = (now, pressure);
+        self.askers.retain(|_, asked| *asked + ASKER_MS > now);
+        let load = Load { server: self.server, pressure };
+        out.extend(self.askers.keys().map(|peer| (*peer, Body::Load(load))));
+    }
+
     /// Drops what is overdue and gives permits that time has made room for.
     pub fn tick(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
         let now = around.now;
@@ -347,7 +379,8 @@
         if self.samples.len() >= SAMPLES_MOST {
             self.samples.remove(0);
         }
-        self.samples.push((now, self.account()));
+        let running = self.running.len() as u64;
+        self.samples.push(Sample { at: now, used: self.account(), running });
     }
 
     /// What runs under permits of this desk: tokens in memory, or calls in progress.
@@ -363,21 +396,34 @@
     /// What the server reports beyond everything that this desk has permitted lately: work that
     /// others started there. Both figures lag, so only a clear excess counts.
     pub fn foreign(&self, now: Millis) -> u64 {
+        let Some(report) = self.fresh_report(now) else { return 0 };
+        let own = self.recent(|s| s.used).max(self.account());
+        report.used.saturating_sub(own)
+    }
+
+    /// The requests that the server reports beyond those that this desk has permitted lately.
+    pub fn foreign_running(&self, now: Millis) -> usize {
+        let Some(report) = self.fresh_report(now) else { return 0 };
+        let own = self.recent(|s| s.running).max(self.running.len() as u64);
+        u64::from(report.running).saturating_sub(own) as usize
+    }
+
+    fn fresh_report(&self, now: Millis) -> Option<&Report> {
+        let (at, report) = self.report.as_ref()?;
+        (now.saturating_sub(*at) <= REPORT_OLD_MS).then_some(report)
+    }
+
+    /// The highest of the desk's own figures in the time that the last report may speak of.
+    fn recent(&self, figure: impl Fn(&Sample) -> u64) -> u64 {
         let Some((at, report)) = &self.report else { return 0 };
-        if now.saturating_sub(*at) > REPORT_OLD_MS {
-            return 0;
-        }
         let from = at.saturating_sub(2 * report.age_ms.max(500));
-        let recent = self.samples.iter().filter(|(t, _)| *t >= from).map(|(_, a)| *a);
-        let own = recent.max().unwrap_or(0).max(self.account());
-        report.used.saturating_sub(own)
+        self.samples.iter().filter(|s| s.at >= from).map(figure).max().unwrap_or(0)
     }
 
     /// Whether the desk admits only the share that is safe without a full view.
     pub fn cautious(&self, now: Millis) -> bool {
-        let fresh =
-            self.report.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) <= REPORT_OLD_MS);
-        !fresh && (self.acting || now.saturating_sub(self.since) < WARM_UP_MS)
+        let starting = self.acting || now.saturating_sub(self.since) < WARM_UP_MS;
+        starting && self.fresh_report(now).is_none()
     }
 
     /// The load of the server, in thousandths of what it can take.
--- a/agateroute_core/src/effect.rs
+++ b/agateroute_core/src/effect.rs
@@ -1,7 +1,7 @@
 //! The effects that the reducer asks for.
 
 use agateroute_proto::peers::message::Body;
-use agateroute_proto::peers::{Claim, ClaimOutcome};
+use agateroute_proto::peers::{Claim, ClaimOutcome, TallyRow};
 
 use crate::event::RequestId;
 use crate::id::Id;
@@ -64,6 +64,8 @@
             /// The record that stands in the row where the claim was lost.
             record: String,
         },
+        /// Hold a row of tallies for a peer that can not write it.
+        HoldTally(TallyRow),
         /// Keep what is known of a suspect request in the table service.
         KeepSuspect {
             /// The fingerprint of the request.
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -18,6 +18,8 @@
 const HEDGE_MS: Millis = 25;
 /// The most servers that are asked at once for one request.
 const ASKS_MOST: usize = 4;
+/// The servers that are drawn for a choice.
+const DRAWS: usize = 4;
 /// How much busier than the mean the server with the cached prefix may be, in thousandths.
 const PREFIX_SLACK: u32 = 250;
 /// The tokens after which progress is reported to the owner.
@@ -150,8 +152,9 @@
         self.send(owner, Body::Ask(ask));
     }
 
-    /// Picks a server: the one likely to have the prefix cached, unless it is far busier than the
-    /// others, and else the less busy of two drawn at random.
+    /// Picks a server: the one that has computed the prefix lately, unless it is far busier than the
+    /// others, and else the least busy of a few drawn at random. Drawing keeps the instances from all
+    /// running to the server that looked idle a moment ago.
     fn choose(&mut self, ticket: &Ticket, excluded: &[Id], alone: bool) -> Option<Id> {
         let runs = self.catalog.targets.get(&ticket.target)?;
         let usable: Vec<Id> = runs
@@ -167,17 +170,15 @@
         }
         let pressure = |s: Id| self.health.pressure(s);
         let mean = usable.iter().map(|s| pressure(*s)).sum::<u32>() / usable.len() as u32;
-        let cached = rendezvous::owner(ticket.prefix, usable.iter().copied());
-        if ticket.prefix != 0
-            && let Some(server) = cached
+        let cached = self.prefixes.find(ticket.prefix, self.now);
+        if let Some(server) = cached.filter(|s| usable.contains(s))
             && pressure(server) <= mean + PREFIX_SLACK
         {
             return Some(server);
         }
-        let first = usable[self.draw(usable.len())];
-        let second = usable[self.draw(usable.len())];
-        let busier = self.health.pressure(second) < self.health.pressure(first);
-        Some(if busier { second } else { first })
+        let drawn: Vec<Id> =
+            (0..DRAWS).map(|_| self.draw(usable.len())).map(|at| usable[at]).collect();
+        drawn.into_iter().min_by_key(|s| self.health.pressure(*s))
     }
 
     pub(crate) fn granted(&mut self, peer: Id, grant: &Grant) {
@@ -201,6 +202,7 @@
                 self.send(*owner, Body::Withdraw(Withdraw { request, server: *other }));
             }
         }
+        self.prefixes.note(pending.ticket.prefix, server, self.now);
         let running = Running {
             ticket: pending.ticket,
             server,
@@ -360,6 +362,8 @@
 
     /// Turns to the new owners of servers after the membership changed.
     pub(crate) fn follow_owners(&mut self) {
+        // The new owners have to know what runs before they are asked for more.
+        self.report_held();
         let mut moved = Vec::new();
         for (request, pending) in self.entry.pending.iter() {
             for (server, owner) in &pending.asks {
@@ -375,9 +379,9 @@
                 self.ask_for(request, server);
             }
         }
-        self.report_held();
     }
 
+    /// Reports what runs to owners that have changed, and takes it back from the former ones.
     fn report_held(&mut self) {
         let owners: Vec<(RequestId, Id)> =
             self.entry.running.iter().map(|(r, h)| (*r, self.owner_of(h.server))).collect();
@@ -386,19 +390,50 @@
             if running.owner == owner {
                 continue;
             }
-            running.owner = owner;
-            let ticket = &running.ticket;
-            let hold = Hold {
-                request,
-                server: running.server,
-                member: ticket.member,
-                target: ticket.target,
-                kind: ticket.kind,
-                rank: u32::from(ticket.rank),
-                prompt: ticket.prompt,
-                tokens: running.tokens,
-            };
+            let former = std::mem::replace(&mut running.owner, owner);
+            let server = running.server;
+            let hold = running.hold();
+            self.send(former, Body::Withdraw(Withdraw { request, server }));
             self.send(owner, Body::Hold(hold));
         }
     }
+
+    /// Tells an owner anew of everything that it decides about, after a new stream to it.
+    pub(crate) fn repeat_to(&mut self, owner: Id) {
+        let held: Vec<Hold> =
+            self.entry.running.values().filter(|r| r.owner == owner).map(Running::hold).collect();
+        for hold in held {
+            self.send(owner, Body::Hold(hold));
+        }
+        let asked: Vec<(RequestId, Id)> = self
+            .entry
+            .pending
+            .iter()
+            .flat_map(|(r, p)| p.asks.iter().map(|a| (*r, *a)))
+            .filter(|(_, (_, o))| *o == owner)
+            .map(|(r, (server, _))| (r, server))
+            .collect();
+        for (request, server) in asked {
+            if let Some(pending) = self.entry.pending.get_mut(&request) {
+                pending.asks.retain(|a| *a != (server, owner));
+                self.ask_for(request, server);
+            }
+        }
+    }
+}
+
+impl Running {
+    /// The report of this request to an owner.
+    fn hold(&self) -> Hold {
+        Hold {
+            request: self.ticket.request,
+            server: self.server,
+            member: self.ticket.member,
+            target: self.ticket.target,
+            kind: self.ticket.kind,
+            rank: u32::from(self.ticket.rank),
+            prompt: self.ticket.prompt,
+            tokens: self.tokens,
+        }
+    }
 }
--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod memory;
+pub mod prefix;
 pub mod relay;
 pub mod rendezvous;
 pub mod retry;
@@ -28,6 +29,7 @@
 pub mod state;
 pub mod suspect;
 pub mod table;
+pub mod tally;
 
 pub use effect::Effect;
 pub use event::Event;
--- a/agateroute_core/src/memory.rs
+++ b/agateroute_core/src/memory.rs
@@ -23,26 +23,34 @@
     pub curve: &'a Curve,
 }
 
-/// The highest mean plus `deviations` standard deviations over all horizons, in tokens.
+/// The highest mean plus `deviations` standard deviations over all horizons, in tokens, and never
+/// more than all generations together can hold there.
 pub fn peak<'a>(loads: impl Iterator<Item = Load<'a>>, deviations: f32) -> f32 {
-    let mut means = [0.0_f32; HORIZONS.len()];
-    let mut variances = [0.0_f32; HORIZONS.len()];
+    let mut sums = [Sum::default(); HORIZONS.len()];
     for load in loads {
-        add_load(&load, &mut means, &mut variances);
+        add_load(&load, &mut sums);
     }
-    let sums =
-        means.iter().zip(variances).map(|(mean, variance)| mean + deviations * variance.sqrt());
-    sums.fold(0.0, f32::max)
+    let bounds = sums.iter().map(|s| (s.mean + deviations * s.variance.sqrt()).min(s.most));
+    bounds.fold(0.0, f32::max)
 }
 
-fn add_load(load: &Load<'_>, means: &mut [f32], variances: &mut [f32]) {
+/// What generations hold together at one horizon.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    mean: f32,
+    variance: f32,
+    most: f32,
+}
+
+fn add_load(load: &Load<'_>, sums: &mut [Sum]) {
     for (i, more) in HORIZONS.iter().enumerate() {
         if load.done + more > load.most {
             break;
         }
         let alive = if *more == 0.0 { 1.0 } else { load.curve.survives(load.done, *more) };
         let held = load.prompt + load.done + more;
-        means[i] += held * alive;
-        variances[i] += held * held * alive * (1.0 - alive);
+        sums[i].mean += held * alive;
+        sums[i].variance += held * held * alive * (1.0 - alive);
+        sums[i].most += held;
     }
 }
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -4,7 +4,7 @@
 
 use agateroute_config::Document;
 use agateroute_proto::peers::message::Body;
-use agateroute_proto::peers::{self, Suspect};
+use agateroute_proto::peers::{self, Reset, Suspect};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -19,6 +19,7 @@
 use crate::id::{Id, Millis};
 use crate::ledger::Ledger;
 use crate::membership::{Membership, Peer};
+use crate::prefix::Prefixes;
 use crate::rendezvous;
 use crate::retry::Budget;
 use crate::suspect::Suspects;
@@ -48,6 +49,7 @@
     /// The requests under suspicion.
     pub suspects: Suspects,
     pub(crate) health: HealthTable,
+    pub(crate) prefixes: Prefixes,
     pub(crate) budget: Budget,
     pub(crate) effects: Vec<Effect>,
     owners: Vec<Id>,
@@ -70,6 +72,7 @@
             estimator: Estimator::default(),
             suspects: Suspects::default(),
             health: HealthTable::default(),
+            prefixes: Prefixes::default(),
             budget: Budget::default(),
             effects: Vec::new(),
             local: Vec::new(),
@@ -140,12 +143,13 @@
     }
 
     fn link(&mut self, peer: &Peer) {
-        let restarted = self.membership.linked(peer, self.now);
-        if restarted {
-            let id = peer.id();
+        let id = peer.id();
+        if self.membership.linked(peer, self.now) {
             self.each_desk(|desk, around, out| desk.drop_peer(id, true, around, out));
         }
+        self.send(id, Body::Reset(Reset {}));
         self.follow_membership();
+        self.repeat_to(id);
         let known: Vec<(u64, u32)> = self.suspects.iter().collect();
         for (fingerprint, crashes) in known {
             self.send(peer.id(), Body::Suspect(Suspect { fingerprint, crashes }));
@@ -237,11 +241,15 @@
                 desk.progress(peer, p.request, p.tokens);
             }),
             Body::Hold(hold) => self.with_desk(hold.server, |desk, _, _| desk.hold(peer, &hold)),
+            Body::Reset(_) => {
+                self.each_desk(|desk, around, out| desk.drop_peer(peer, true, around, out));
+            }
+            Body::Load(load) => self.health.set_pressure(load.server, load.pressure),
             Body::Sign(sign) => self.receive_sign(&sign),
             Body::Suspect(s) => self.suspects.learn(s.fingerprint, s.crashes, self.now),
             Body::Claim(claim) => self.queue_claim(peer, claim),
             Body::ClaimResult(result) => self.claim_result(result),
-            Body::TallyRow(_) => {}
+            Body::TallyRow(row) => self.effects.push(Effect::HoldTally(row)),
         }
     }
 
@@ -367,6 +375,8 @@
         self.tick_entry();
         self.tick_ledger();
         self.each_desk(Desk::tick);
+        let load_ms = self.catalog.routing().load_ms;
+        self.each_desk(|desk, around, out| desk.tell_load(load_ms, around.now, out));
     }
 
     /// Gives up what peers hold that have been silent for long. Their asks go after one silence.
--- /dev/null
+++ b/agateroute_core/tests/properties.rs
@@ -0,0 +1,217 @@
+//! Properties of the reducer under any order of events on several instances.
+
+mod world;
+
+use std::time::Duration;
+
+use agateroute_core::event::{End, Sign};
+use agateroute_core::{Event, id};
+use agateroute_proto::peers::ClaimOutcome;
+use bolero::{TypeGenerator, check};
+use world::{World, document};
+
+const INSTANCES: usize = 3;
+/// Long enough that the iterations decide when a test ends, on any machine.
+const TEST_TIME: Duration = Duration::from_secs(600);
+
+#[derive(Debug, TypeGenerator)]
+enum Input {
+    Arrive { on: u8, member: u8, urgent: bool, poison: bool },
+    Whole { on: u8, pick: u8, tokens: u8 },
+    Fail { on: u8, pick: u8, how: u8 },
+    Progress { on: u8, pick: u8, tokens: u8 },
+    Abandon { on: u8, pick: u8 },
+    Pass(u8),
+    Long,
+    Cut { a: u8, b: u8 },
+    Heal,
+    Replace { on: u8 },
+    Close { on: u8 },
+}
+
+fn pick<T: Copy>(all: &[T], number: u8) -> Option<T> {
+    (!all.is_empty()).then(|| all[usize::from(number) % all.len()])
+}
+
+fn running(world: &World, at: usize) -> Vec<u64> {
+    world.instances[at].running.keys().copied().collect()
+}
+
+fn step(world: &mut World, input: &Input, next: &mut u64) {
+    let instance = |on: u8| usize::from(on) % INSTANCES;
+    match *input {
+        Input::Arrive { on, member, urgent, poison } => {
+            let member = pick(&["yew", "box", "oak"], member).expect("a member");
+            let mut ticket = world.ticket(*next, member, if urgent { "quote" } else { "draft" });
+            if poison {
+                ticket.fingerprint = 666;
+            }
+            *next += 1;
+            world.arrive(instance(on), ticket);
+        }
+        Input::Whole { on, pick: number, tokens } => {
+            let at = instance(on);
+            if let Some(request) = pick(&running(world, at), number) {
+                let end = End::Whole { tokens: u32::from(tokens), took_ms: 10 };
+                world.end(at, request, end);
+            }
+        }
+        Input::Fail { on, pick: number, how } => {
+            let at = instance(on);
+            let end = match how % 4 {
+                0 => End::NotStarted { sign: Sign::Refused },
+                1 => End::Lost { tokens: 0, sign: Sign::Nothing, again: true },
+                2 => End::Lost { tokens: 2, sign: Sign::Crashed, again: false },
+                _ => End::NotStarted { sign: Sign::Leaving },
+            };
+            if let Some(request) = pick(&running(world, at), number) {
+                world.end(at, request, end);
+            }
+        }
+        Input::Progress { on, pick: number, tokens } => {
+            let at = instance(on);
+            if let Some(request) = pick(&running(world, at), number) {
+                world.apply(at, Event::Progressed { request, tokens: u32::from(tokens) });
+            }
+        }
+        Input::Abandon { on, pick: number } => {
+            let at = instance(on);
+            if let Some(request) = pick(&world.instances[at].open.clone(), number) {
+                world.abandon(at, request);
+            }
+        }
+        Input::Pass(ms) => world.pass(u64::from(ms)),
+        Input::Long => world.pass(2_500),
+        Input::Cut { a, b } if instance(a) != instance(b) => world.cut(instance(a), instance(b)),
+        Input::Cut { .. } => {}
+        Input::Heal => heal(world),
+        Input::Replace { on } => {
+            world.kill(instance(on));
+            world.replace(instance(on));
+        }
+        Input::Close { on } => {
+            let server = id(if on % 2 == 0 { "engine-0" } else { "engine-1" });
+            world.apply(instance(on), Event::ServerLeaving { server });
+        }
+    }
+}
+
+fn heal(world: &mut World) {
+    for (a, b) in world.cuts.clone() {
+        world.heal(a, b);
+    }
+}
+
+/// The world itself asserts that a request never runs twice at once, is never refused while it runs,
+/// and never gets a second outcome. Here: nothing is left waiting, and all permits come back.
+#[test]
+fn nothing_lost() {
+    check!().with_type::<Vec<Input>>().with_iterations(200).with_test_time(TEST_TIME).for_each(
+        |inputs| {
+            let mut world = World::new(INSTANCES, document(2, 2_000, 3, 0));
+            let mut next = 1;
+            for input in inputs.iter().take(120) {
+                step(&mut world, input, &mut next);
+            }
+            heal(&mut world);
+            world.pass(500);
+            // Whatever still runs ends; whatever still waits gets its permit or its refusal.
+            for _ in 0..80 {
+                for at in 0..INSTANCES {
+                    for request in running(&world, at) {
+                        world.end(at, request, End::Whole { tokens: 10, took_ms: 10 });
+                    }
+                }
+                world.pass(100);
+            }
+            for instance in &world.instances {
+                assert!(instance.open.is_empty(), "{}: {:?} is left", instance.name, instance.open);
+                assert!(instance.state.entry.pending.is_empty());
+                assert!(instance.state.entry.running.is_empty());
+                for desk in instance.state.desks.values() {
+                    assert!(desk.waiting.is_empty(), "{:?}", desk.waiting);
+                    assert!(desk.running.is_empty(), "a permit is lost: {:?}", desk.running);
+                }
+            }
+        },
+    );
+}
+
+/// While all instances hear each other, no more runs on an engine than its batch allows.
+#[test]
+fn batch_bounded() {
+    check!().with_type::<Vec<Input>>().with_iterations(200).with_test_time(TEST_TIME).for_each(
+        |inputs| {
+            let mut world = World::new(INSTANCES, document(2, 100_000, 3, 0));
+            let mut next = 1;
+            for input in inputs.iter().take(120) {
+                if matches!(input, Input::Cut { .. } | Input::Replace { .. }) {
+                    continue;
+                }
+                step(&mut world, input, &mut next);
+                for server in ["engine-0", "engine-1"] {
+                    assert!(world.on_server(id(server)) <= 3, "{server} is over its batch");
+                }
+            }
+        },
+    );
+}
+
+#[derive(Debug, TypeGenerator)]
+enum ClaimInput {
+    Claim { on: u8, row: u8, again: bool },
+    Table { effect: bool, told: bool },
+    Pass(u8),
+    Replace { on: u8 },
+}
+
+/// Of all attempts on a row, at most one is ever told that it has won.
+#[test]
+fn one_winner() {
+    check!()
+        .with_type::<Vec<ClaimInput>>()
+        .with_iterations(1_000)
+        .with_test_time(TEST_TIME)
+        .for_each(|inputs| {
+            let mut world = World::new(INSTANCES, document(1, 1_000, 1, 0));
+            let mut claims: Vec<(usize, u64, String, String)> = Vec::new();
+            let mut winners: Vec<(String, String)> = Vec::new();
+            for (n, input) in inputs.iter().take(200).enumerate() {
+                match *input {
+                    ClaimInput::Claim { on, row, again } => {
+                        let at = usize::from(on) % INSTANCES;
+                        let row = format!("row-{}", row % 3);
+                        let former = claims.iter().rev().find(|c| c.0 == at && c.2 == row);
+                        let attempt = match former {
+                            Some(former) if again => former.3.clone(),
+                            _ => format!("attempt-{n}"),
+                        };
+                        claims.push((at, n as u64, row.clone(), attempt.clone()));
+                        world.claim(at, n as u64, &row, &attempt, false);
+                    }
+                    ClaimInput::Table { effect, told } => world.transact(effect, told),
+                    ClaimInput::Pass(ms) => world.pass(u64::from(ms)),
+                    ClaimInput::Replace { on } => {
+                        world.kill(usize::from(on) % INSTANCES);
+                        world.replace(usize::from(on) % INSTANCES);
+                    }
+                }
+                for at in 0..INSTANCES {
+                    for (request, outcome) in std::mem::take(&mut world.instances[at].claims) {
+                        let claim = claims.iter().find(|c| c.0 == at && c.1 == request);
+                        let Some((_, _, row, attempt)) = claim else { continue };
+                        if outcome == ClaimOutcome::Won {
+                            let standing = world.rows.get(row).map(|(tag, _)| tag.as_str());
+                            assert_eq!(standing, Some(attempt.as_str()), "a win without the row");
+                            winners.push((row.clone(), attempt.clone()));
+                        }
+                    }
+                }
+            }
+            winners.sort();
+            winners.dedup();
+            let mut rows: Vec<&String> = winners.iter().map(|w| &w.0).collect();
+            rows.dedup();
+            assert_eq!(rows.len(), winners.len(), "two attempts won a row: {winners:?}");
+        });
+}
--- /dev/null
+++ b/agateroute_core/tests/relay.rs
@@ -0,0 +1,109 @@
+//! The relay passes each token once, in order, from one generation, whatever arrives.
+
+use std::time::Duration;
+
+use agateroute_core::relay::{Arrival, Relay, Verdict};
+use bolero::{TypeGenerator, check};
+
+#[derive(Debug, TypeGenerator)]
+enum Input {
+    Next,
+    Repeat(u8),
+    Jump(u8),
+    Run(u8),
+    Other,
+    Last,
+    Mark,
+    Cut,
+}
+
+/// Long enough that the iterations decide when a test ends, on any machine.
+const TEST_TIME: Duration = Duration::from_secs(600);
+const RESUMES: u32 = 3;
+
+/// A server that holds the generation `own` and answers what the relay asks it for.
+struct Server {
+    next: u64,
+}
+
+impl Server {
+    fn arrival(&mut self, input: &Input) -> Arrival<'static> {
+        let chunk = |index, count, last| Arrival::Chunk { generation: "own", index, count, last };
+        match input {
+            Input::Next => {
+                self.next += 1;
+                chunk(self.next - 1, 1, false)
+            }
+            Input::Repeat(back) => chunk(self.next.saturating_sub(u64::from(*back)), 1, false),
+            Input::Jump(ahead) => chunk(self.next + 1 + u64::from(*ahead), 1, false),
+            Input::Run(count) => {
+                let from = self.next;
+                self.next += u64::from(*count % 8);
+                chunk(from, u64::from(*count % 8), false)
+            }
+            Input::Other => {
+                Arrival::Chunk { generation: "other", index: self.next, count: 1, last: false }
+            }
+            Input::Last => chunk(self.next, 0, true),
+            Input::Mark => Arrival::Mark,
+            Input::Cut => Arrival::Cut,
+        }
+    }
+}
+
+#[test]
+fn each_once() {
+    check!().with_type::<Vec<Input>>().with_iterations(5_000).with_test_time(TEST_TIME).for_each(
+        |inputs| {
+            let mut relay = Relay::new("own", RESUMES);
+            let mut server = Server { next: 0 };
+            let mut delivered = 0;
+            let mut ended = false;
+            for input in inputs {
+                let arrival = server.arrival(input);
+                match relay.apply(&arrival) {
+                    Verdict::Pass => {
+                        let Arrival::Chunk { generation, index, count, last } = arrival else {
+                            panic!("only chunks are passed on");
+                        };
+                        assert_eq!(generation, "own");
+                        assert_eq!(index, delivered, "in order and without a gap");
+                        assert!(!ended, "nothing comes after the end");
+                        delivered += count;
+                        ended = last;
+                    }
+                    Verdict::Resume(from) => {
+                        assert_eq!(from, delivered, "the rest starts where the caller is");
+                        server.next = from;
+                    }
+                    Verdict::Finish => {
+                        assert!(ended, "a stream is whole only after its last chunk");
+                        break;
+                    }
+                    Verdict::Lost => break,
+                    Verdict::Drop => {}
+                }
+                assert_eq!(relay.tokens(), delivered);
+            }
+        },
+    );
+}
+
+#[test]
+fn resumes_end() {
+    let mut relay = Relay::new("own", RESUMES);
+    for _ in 0..RESUMES {
+        assert_eq!(relay.apply(&Arrival::Cut), Verdict::Resume(0));
+    }
+    assert_eq!(relay.apply(&Arrival::Cut), Verdict::Lost);
+}
+
+#[test]
+fn progress_renews() {
+    let mut relay = Relay::new("own", 1);
+    for index in 0..10 {
+        assert_eq!(relay.apply(&Arrival::Cut), Verdict::Resume(index));
+        let chunk = Arrival::Chunk { generation: "own", index, count: 1, last: false };
+        assert_eq!(relay.apply(&chunk), Verdict::Pass);
+    }
+}
--- /dev/null
+++ b/agateroute_core/tests/world/mod.rs
@@ -0,0 +1,399 @@
+//! Several instances on one clock, joined by links that can be cut, and a table service that can
+//! lose answers. Only the reducer runs here; all I/O is played by the test.
+#![allow(dead_code, reason = "each test file uses its part of the world")]
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use agateroute_config::Document;
+use agateroute_core::catalog::{model_id, service_id};
+use agateroute_core::event::{End, Report, RequestId, Ticket};
+use agateroute_core::ledger::{RowResult, Transacted};
+use agateroute_core::membership::Peer;
+use agateroute_core::{Effect, Event, Id, State, Table, id};
+use agateroute_proto::peers::message::Body;
+use agateroute_proto::peers::{Claim, ClaimOutcome};
+use serde_json::{Value, json};
+
+/// An instance of the world.
+pub struct Instance {
+    pub name: String,
+    pub state: State,
+    pub alive: bool,
+    pub start: u64,
+    /// What runs on backend servers on behalf of this instance.
+    pub running: Table<RequestId, Id>,
+    /// Requests that have neither ended nor been refused.
+    pub open: Vec<RequestId>,
+    /// Requests that were refused.
+    pub refused: Vec<RequestId>,
+    /// Results of claims.
+    pub claims: Vec<(RequestId, ClaimOutcome)>,
+}
+
+/// A transaction whose outcome has not been told yet.
+pub struct InFlight {
+    pub instance: usize,
+    pub shard: u64,
+    pub claims: Vec<Claim>,
+}
+
+/// The world.
+pub struct World {
+    pub now: u64,
+    pub document: Arc<Document>,
+    pub instances: Vec<Instance>,
+    pub cuts: Vec<(usize, usize)>,
+    pub rows: Table<String, (String, String)>,
+    pub transactions: Vec<InFlight>,
+    pub log: String,
+    /// What runs, in the order in which it started.
+    order: Vec<(usize, RequestId)>,
+}
+
+/// The document of a fleet.
+pub fn document(engines: usize, memory: u64, batch: u32, services: usize) -> Document {
+    let key = |n: u32| json!([{"sha256": format!("{n:064x}")}]);
+    let engine = |i| {
+        json!({"name": format!("engine-{i}"), "address": "127.0.0.1:1", "zone": "a",
+            "engine": {"models": ["prose"], "memory_tokens": memory, "batch": batch}})
+    };
+    let service = |i| {
+        json!({"name": format!("service-{i}"), "address": "127.0.0.1:1", "zone": "a",
+            "plain": {"service": "orders", "slots": 4}})
+    };
+    let servers: Vec<Value> = (0..engines).map(engine).chain((0..services).map(service)).collect();
+    let document = json!({
+        "deployment": "world",
+        "ranks": [
+            {"name": "urgent", "first_token_ms": 1000, "between_tokens_ms": 50, "answer_ms": 1000},
+            {"name": "deferrable", "first_token_ms": 5000, "between_tokens_ms": 50,
+                "answer_ms": 5000, "floor_percent": 20},
+        ],
+        "models": [{"name": "prose", "version": "1", "context_tokens": 32768, "kinds": [
+            {"name": "draft", "rank": "deferrable"}, {"name": "quote", "rank": "urgent"}]}],
+        "services": [{"name": "orders", "calls": [
+            {"kind": "stock", "rank": "urgent"}]}],
+        "servers": servers,
+        "members": [
+            {"name": "yew", "models": ["prose"], "services": ["orders"], "keys": key(1)},
+            {"name": "box", "models": ["prose"], "services": ["orders"], "keys": key(2)},
+            {"name": "oak", "share": 3, "models": ["prose"], "keys": key(3)},
+        ],
+    });
+    serde_json::from_value(document).expect("the document")
+}
+
+impl World {
+    /// A world of linked instances named `a`, `b` and so on.
+    pub fn new(instances: usize, document: Document) -> World {
+        let mut world = World {
+            now: 0,
+            document: Arc::new(document),
+            instances: Vec::new(),
+            cuts: Vec::new(),
+            rows: Table::default(),
+            transactions: Vec::new(),
+            log: String::new(),
+            order: Vec::new(),
+        };
+        for i in 0..instances {
+            let name = char::from(b'a' + i as u8).to_string();
+            let instance = world.fresh(name, 1, i as u64);
+            world.instances.push(instance);
+        }
+        for i in 0..instances {
+            for j in 0..i {
+                world.link(i, j);
+            }
+        }
+        // Desks are cautious until they have heard of the load; reports come at once here.
+        world.report_all();
+        world.log.clear();
+        world
+    }
+
+    fn fresh(&self, name: String, start: u64, seed: u64) -> Instance {
+        let peer = Peer { name: name.clone(), start };
+        Instance {
+            state: State::new(&peer, self.document.clone(), seed),
+            name,
+            alive: true,
+            start,
+            running: Table::default(),
+            open: Vec::new(),
+            refused: Vec::new(),
+            claims: Vec::new(),
+        }
+    }
+
+    /// The position of an instance.
+    pub fn at(&self, name: &str) -> usize {
+        self.instances.iter().position(|i| i.name == name).expect("an instance")
+    }
+
+    fn name_of(&self, server: Id) -> String {
+        let found = self.document.servers.iter().find(|s| id(&s.name) == server);
+        found.map_or_else(|| "?".to_owned(), |s| s.name.clone())
+    }
+
+    fn joined(&self, a: usize, b: usize) -> bool {
+        let cut = self.cuts.contains(&(a, b)) || self.cuts.contains(&(b, a));
+        !cut && self.instances[a].alive && self.instances[b].alive
+    }
+
+    /// Links two instances.
+    pub fn link(&mut self, a: usize, b: usize) {
+        for (at, other) in [(a, b), (b, a)] {
+            let peer = Peer {
+                name: self.instances[other].name.clone(),
+                start: self.instances[other].start,
+            };
+            self.apply(at, Event::Linked { peer });
+        }
+    }
+
+    /// Applies an event to an instance and plays its effects.
+    pub fn apply(&mut self, at: usize, event: Event) {
+        if !self.instances[at].alive {
+            return;
+        }
+        let effects = self.instances[at].state.apply(self.now, event);
+        for effect in effects {
+            self.play(at, effect);
+        }
+    }
+
+    fn play(&mut self, at: usize, effect: Effect) {
+        let name = self.instances[at].name.clone();
+        match effect {
+            Effect::Start { request, server } => {
+                let instance = &mut self.instances[at];
+                let former = instance.running.insert(request, server);
+                assert!(former.is_none(), "request {request} of {name} runs twice");
+                assert!(instance.open.contains(&request), "request {request} is over");
+                self.order.push((at, request));
+                let server = self.name_of(server);
+                let _ = writeln!(self.log, "{name}: start {request} on {server}");
+            }
+            Effect::Refuse { request, refusal, retry_ms } => {
+                let instance = &mut self.instances[at];
+                assert!(!instance.running.contains(&request), "request {request} runs");
+                assert!(instance.open.contains(&request), "request {request} is over");
+                instance.open.retain(|r| *r != request);
+                instance.refused.push(request);
+                let _ = writeln!(self.log, "{name}: refuse {request} {refusal:?} retry {retry_ms}");
+            }
+            Effect::Send { peer, body } => self.deliver(at, peer, body),
+            Effect::Transact { shard, claims } => {
+                self.transactions.push(InFlight { instance: at, shard, claims });
+            }
+            Effect::Claimed { request, outcome, .. } => {
+                self.instances[at].claims.push((request, outcome));
+                let _ = writeln!(self.log, "{name}: claim {request} {outcome:?}");
+            }
+            Effect::HoldTally(_) => {}
+            Effect::KeepSuspect { fingerprint, crashes } => {
+                let _ = writeln!(self.log, "{name}: keep suspect {fingerprint} crashes {crashes}");
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, peer: Id, body: Body) {
+        let sender = id(&self.instances[from].name);
+        let to = self.instances.iter().position(|i| id(&i.name) == peer);
+        if let Some(to) = to
+            && self.joined(from, to)
+        {
+            self.apply(to, Event::Received { peer: sender, body });
+        }
+    }
+
+    /// Lets time pass in ticks of 25 ms, with heartbeats and load reports.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = (self.now + 25).min(end);
+            for at in 0..self.instances.len() {
+                for other in 0..self.instances.len() {
+                    if at != other && self.joined(at, other) {
+                        let peer = id(&self.instances[other].name);
+                        self.apply(at, Event::Heard { peer });
+                    }
+                }
+            }
+            if self.now.is_multiple_of(500) {
+                self.report_all();
+            }
+            for at in 0..self.instances.len() {
+                self.apply(at, Event::Tick);
+            }
+        }
+    }
+
+    /// Every owner reads the load reports of its servers.
+    pub fn report_all(&mut self) {
+        for at in 0..self.instances.len() {
+            let owned: Vec<Id> = self.instances[at].state.owned().collect();
+            for server in owned {
+                let running = self.on_server(server);
+                let report = Report {
+                    used: 100 * running as u64,
+                    running: running as u32,
+                    waiting: 0,
+                    preemptions: 0,
+                    leaving: false,
+                    age_ms: 0,
+                };
+                self.apply(at, Event::Reported { server, report });
+            }
+        }
+    }
+
+    /// What runs on a server on behalf of all instances.
+    pub fn on_server(&self, server: Id) -> usize {
+        let all = self.instances.iter().flat_map(|i| i.running.values());
+        all.filter(|s| **s == server).count()
+    }
+
+    /// A request arrives.
+    pub fn arrive(&mut self, at: usize, ticket: Ticket) {
+        self.instances[at].open.push(ticket.request);
+        self.apply(at, Event::Arrived(ticket));
+    }
+
+    /// A ticket of a member.
+    pub fn ticket(&self, request: RequestId, member: &str, kind: &str) -> Ticket {
+        let plain = kind == "stock";
+        let rank = u8::from(kind == "draft");
+        let promise = &self.document.ranks[usize::from(rank)];
+        Ticket {
+            request,
+            member: id(member),
+            target: if plain { service_id("orders") } else { model_id("prose") },
+            kind: id(kind),
+            rank,
+            prompt: if plain { 0 } else { 100 },
+            most: 0,
+            prefix: 0,
+            fingerprint: request,
+            deadline: self.now + promise.first_token_ms,
+        }
+    }
+
+    /// What has run longest.
+    pub fn oldest(&mut self) -> Option<(usize, RequestId)> {
+        let instances = &self.instances;
+        self.order.retain(|(at, request)| instances[*at].running.contains(request));
+        self.order.first().copied()
+    }
+
+    /// The work of a request on its server ends.
+    pub fn end(&mut self, at: usize, request: RequestId, end: End) {
+        if self.instances[at].running.remove(&request).is_none() {
+            return;
+        }
+        let final_end = matches!(end, End::Whole { .. } | End::Cancelled { .. });
+        if final_end {
+            self.instances[at].open.retain(|r| *r != request);
+        }
+        self.apply(at, Event::Ended { request, end });
+    }
+
+    /// The caller of a request goes away.
+    pub fn abandon(&mut self, at: usize, request: RequestId) {
+        self.instances[at].running.remove(&request);
+        self.instances[at].open.retain(|r| *r != request);
+        self.apply(at, Event::Abandoned { request });
+    }
+
+    /// An instance dies; its streams die with it.
+    pub fn kill(&mut self, at: usize) {
+        self.instances[at].alive = false;
+        self.instances[at].running = Table::default();
+        self.instances[at].open.clear();
+        let peer = id(&self.instances[at].name);
+        for other in 0..self.instances.len() {
+            self.apply(other, Event::Unlinked { peer });
+        }
+        self.transactions.retain(|t| t.instance != at);
+    }
+
+    /// A dead instance is replaced by one of the same name.
+    pub fn replace(&mut self, at: usize) {
+        let (name, start) = (self.instances[at].name.clone(), self.instances[at].start + 1);
+        self.instances[at] = self.fresh(name, start, start);
+        for other in 0..self.instances.len() {
+            if other != at && self.joined(at, other) {
+                self.link(at, other);
+            }
+        }
+    }
+
+    /// Cuts the link of two instances. The silence is noticed, not the cut.
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.push((a, b));
+    }
+
+    /// Heals the link of two instances.
+    pub fn heal(&mut self, a: usize, b: usize) {
+        self.cuts.retain(|c| *c != (a, b) && *c != (b, a));
+        if self.joined(a, b) {
+            self.link(a, b);
+        }
+    }
+
+    /// A claim of an instance.
+    pub fn claim(&mut self, at: usize, request: RequestId, row: &str, attempt: &str, settle: bool) {
+        let claim = Claim {
+            request,
+            row: row.to_owned(),
+            attempt: attempt.to_owned(),
+            digest: String::new(),
+            record: format!("record of {attempt}"),
+            settle,
+            replaces: String::new(),
+            wait_ms: 1_000,
+        };
+        self.apply(at, Event::ClaimWanted(claim));
+    }
+
+    /// The table service works on the oldest transaction. `effect` says whether it takes effect and
+    /// `told` whether its answer arrives.
+    pub fn transact(&mut self, effect: bool, told: bool) {
+        if self.transactions.is_empty() {
+            return;
+        }
+        let flight = self.transactions.remove(0);
+        let outcome = if effect { self.write(&flight.claims) } else { Transacted::Failed };
+        let outcome = if told { outcome } else { Transacted::Failed };
+        self.apply(flight.instance, Event::Transacted { shard: flight.shard, outcome });
+    }
+
+    fn write(&mut self, claims: &[Claim]) -> Transacted {
+        let results: Vec<RowResult> = claims
+            .iter()
+            .map(|c| {
+                let standing = self.rows.get(&c.row).cloned();
+                let free = standing.as_ref().is_none_or(|(tag, _)| *tag == c.attempt);
+                RowResult { failed: !free, standing: if free { None } else { standing } }
+            })
+            .collect();
+        if results.iter().any(|r| r.failed) {
+            return Transacted::Conflict(results);
+        }
+        for claim in claims {
+            let tag = match claim.settle {
+                true => format!("{}/settled", claim.attempt),
+                false => claim.attempt.clone(),
+            };
+            self.rows.insert(claim.row.clone(), (tag, claim.record.clone()));
+        }
+        Transacted::Done
+    }
+
+    /// What was written to the log since the last call.
+    pub fn take_log(&mut self) -> String {
+        std::mem::take(&mut self.log)
+    }
+}
--- a/agateroute_platform/src/table.rs
+++ b/agateroute_platform/src/table.rs
@@ -38,6 +38,8 @@
     Tag(&'a str),
     /// The row does not exist, or has this tag.
     AbsentOrTag(&'a str),
+    /// The row does not exist, or its tag sorts before this one.
+    Newer(&'a str),
 }
 
 /// A conditional write of a row.
@@ -191,6 +193,7 @@
         Condition::Absent => ("attribute_not_exists(pk)", None),
         Condition::Tag(tag) => ("#tag = :tag", Some(tag)),
         Condition::AbsentOrTag(tag) => ("attribute_not_exists(pk) OR #tag = :tag", Some(tag)),
+        Condition::Newer(tag) => ("attribute_not_exists(pk) OR #tag < :tag", Some(tag)),
     };
     put["ConditionExpression"] = json!(expression);
     if let Some(tag) = tag {
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -27,7 +27,10 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Message {
-    #[prost(oneof = "message::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "message::Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub body: ::core::option::Option<message::Body>,
 }
 /// Nested message and enum types in `Message`.
@@ -58,6 +61,10 @@
         ClaimResult(super::ClaimResult),
         #[prost(message, tag = "12")]
         TallyRow(super::TallyRow),
+        #[prost(message, tag = "13")]
+        Load(super::Load),
+        #[prost(message, tag = "14")]
+        Reset(super::Reset),
     }
 }
 /// Asks the owner of a backend server for a permit to start a request there.
@@ -170,6 +177,18 @@
     #[prost(uint32, tag = "8")]
     pub tokens: u32,
 }
+/// Sent first on a new stream: forget all asks and permits of the sender, since releases may have been
+/// lost with the former stream. What still waits and runs follows.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Reset {}
+/// Tells instances that asked lately how busy a backend server is.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Load {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint32, tag = "2")]
+    pub pressure: u32,
+}
 /// What an entry instance observed of a backend server.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Sign {
--- a/agaterouted/src/account.rs
+++ b/agaterouted/src/account.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use agateroute_core::tally::{Tally, TallyKey};
 use opentelemetry::{Context, KeyValue};
 
 use crate::shell::{ActiveGuard, Shell};
+use crate::tallies::{day_of, unix_seconds};
 use crate::telemetry::end_span;
 
 /// The share of gaps between tokens that may be longer than the target, as one in this many.
-const SLOW_GAPS_ONE_IN: u32 = 20;
+const SLOW_GAPS_ONE_IN: u64 = 20;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,10 +80,9 @@
     arrived: Instant,
     first: Option<Instant>,
     last: Instant,
-    gaps: u32,
-    slow_gaps: u32,
+    gaps: u64,
     stalled: Duration,
-    tokens: u64,
+    tally: Tally,
     server: Option<Arc<str>>,
     closed: bool,
     _active: ActiveGuard,
@@ -105,9 +106,8 @@
             first: None,
             last: now,
             gaps: 0,
-            slow_gaps: 0,
             stalled: Duration::ZERO,
-            tokens: 0,
+            tally: Tally::default(),
             server: None,
             closed: false,
             _active: ActiveGuard::new(shell),
@@ -126,19 +126,21 @@
         let now = Instant::now();
         if self.first.is_none() {
             self.first = Some(now);
-            let passed = now.duration_since(self.arrived).as_secs_f64();
-            self.shell.telemetry.first_token.record(passed, &self.labels());
+            let passed = now.duration_since(self.arrived);
+            self.tally.first.add(passed.as_millis() as u64);
+            self.shell.telemetry.first_token.record(passed.as_secs_f64(), &self.labels());
         } else {
             self.gap(now.duration_since(self.last));
         }
         self.last = now;
-        self.tokens += count;
+        self.tally.tokens += count;
     }
 
     fn gap(&mut self, gap: Duration) {
         self.gaps += 1;
+        self.tally.gaps.add(gap.as_millis() as u64);
         if gap > self.targets.between {
-            self.slow_gaps += 1;
+            self.tally.stalls += 1;
             self.stalled += gap - self.targets.between;
         }
     }
@@ -146,7 +148,7 @@
     /// Whether the first token came in time and few gaps were slow.
     pub fn stream_on_time(&self) -> bool {
         let first = self.first.map_or(self.last, |f| f).duration_since(self.arrived);
-        first <= self.targets.first && self.slow_gaps * SLOW_GAPS_ONE_IN <= self.gaps
+        first <= self.targets.first && self.tally.stalls * SLOW_GAPS_ONE_IN <= self.gaps
     }
 
     /// Closes the account of a generation that was delivered whole.
@@ -158,6 +160,7 @@
     /// Closes the account of a plain call that was answered whole.
     pub fn close_answer(&mut self) {
         let passed = self.arrived.elapsed();
+        self.tally.first.add(passed.as_millis() as u64);
         self.shell.telemetry.answer.record(passed.as_secs_f64(), &self.labels());
         let on_time = passed <= self.targets.answer;
         self.close(if on_time { Ended::OnTime } else { Ended::Late });
@@ -172,10 +175,20 @@
         let mut labels = self.labels().to_vec();
         labels.push(KeyValue::new("outcome", ended.as_str()));
         telemetry.requests.add(1, &labels);
-        telemetry.tokens.add(self.tokens, &self.labels());
-        telemetry.stalls.add(u64::from(self.slow_gaps), &self.labels());
+        telemetry.tokens.add(self.tally.tokens, &self.labels());
+        telemetry.stalls.add(self.tally.stalls, &self.labels());
         end_span(&self.context, ended.as_str());
         self.log(ended);
+        self.tally.ended[ended as usize] += 1;
+        self.tally.stalled_ms = self.stalled.as_millis() as u64;
+        let subject = &self.subject;
+        let key = TallyKey {
+            day: day_of(unix_seconds()),
+            member: subject.member.to_string(),
+            kind: subject.kind.to_string(),
+            rank: subject.rank.to_string(),
+        };
+        self.shell.book.count(key, &self.tally);
     }
 
     fn log(&self, ended: Ended) {
@@ -189,7 +202,7 @@
             rank: = &*subject.rank,
             server: = self.server.as_deref().unwrap_or("-"),
             outcome = ended.as_str(),
-            tokens = self.tokens,
+            tokens = self.tally.tokens,
             first_ms: = format!("{first:.1}"),
             total_ms: = format!("{:.1}", millis(self.arrived.elapsed())),
             stall_ms: = format!("{:.1}", millis(self.stalled)),
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -4,6 +4,7 @@
 
 use agateroute_config::Document;
 use agateroute_core::catalog::model_id;
+use agateroute_core::effect::Refusal;
 use agateroute_core::event::{End, Sign, Ticket};
 use agateroute_core::id::{id_of_bytes, mix};
 use agateroute_core::{Id, id};
@@ -88,13 +89,13 @@
     let priority = ticket.rank;
     let mut queue = shell.telemetry.span("queue", SpanKind::Internal, &account.context);
     let mut permit = shell.arrive(ticket);
+    let mut began = false;
     loop {
         let server = match permit.admission().await {
             Admission::Start(server) => server,
             Admission::Refuse(refusal, retry_ms) => {
                 end_span(&queue, "refused");
-                account.close(Ended::NotRun);
-                return Err(ApiError::refused(refusal, retry_ms));
+                return Err(refused(&mut account, began, refusal, retry_ms));
             }
         };
         end_span(&queue, "granted");
@@ -113,11 +114,15 @@
             Ok(generation) => match answer(generation, permit, account, &asked).await {
                 Answered::Response(response) => return response,
                 Answered::Again(again_permit, again_account) => {
+                    began = true;
                     permit = again_permit;
-                    account = again_account;
+                    account = *again_account;
                 }
             },
-            Err(OpenError::Failed(end)) => permit.end(end),
+            Err(OpenError::Failed(end)) => {
+                began |= matches!(end, End::Lost { .. });
+                permit.end(end);
+            }
             Err(OpenError::Rejected(status, body)) => {
                 permit.end(End::Cancelled { tokens: 0 });
                 account.close(Ended::NotRun);
@@ -128,6 +133,16 @@
     }
 }
 
+/// The error for a refused request. Once an engine got it, nobody may say that it was not run.
+fn refused(account: &mut Account, began: bool, refusal: Refusal, retry_ms: u32) -> ApiError {
+    if began {
+        account.close(Ended::Unknown);
+        return ApiError::unknown("engines got this request and lost it before its first token");
+    }
+    account.close(Ended::NotRun);
+    ApiError::refused(refusal, retry_ms)
+}
+
 fn server_ref(shell: &Shell, in_force: &InForce, server: Id) -> Option<crate::shell::ServerRef> {
     let known = in_force.servers.get(&server).cloned();
     known.or_else(|| shell.in_force().servers.get(&server).cloned())
@@ -135,7 +150,7 @@
 
 enum Answered {
     Response(Result<WebResponse, ApiError>),
-    Again(Permit, Account),
+    Again(Permit, Box<Account>),
 }
 
 /// Waits for the first token. Until then the request may start anew elsewhere.
@@ -167,7 +182,7 @@
             }
             Next::Lost => {
                 permit.end(generation.end(false, true));
-                return Answered::Again(permit, account);
+                return Answered::Again(permit, Box::new(account));
             }
         }
     }
--- a/agaterouted/src/jobs.rs
+++ b/agaterouted/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Carries out the effects that need the platform's table service.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use agateroute_core::Event;
 use agateroute_core::ledger::{RowResult, Transacted};
@@ -12,6 +12,7 @@
 
 use crate::record::claim_row;
 use crate::shell::Shell;
+use crate::tallies::unix_seconds;
 
 /// The partition of suspect requests.
 const SUSPECTS_PARTITION: &str = "suspects";
@@ -108,11 +109,6 @@
     RowResult { failed: failure.failed, standing: failure.row.map(|r| (r.tag, r.value)) }
 }
 
-/// Seconds since 1970.
-pub fn unix_seconds() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
-}
-
 fn suspect_row(fingerprint: u64, crashes: u32) -> Row {
     Row {
         partition: SUSPECTS_PARTITION.to_owned(),
--- a/agaterouted/src/main.rs
+++ b/agaterouted/src/main.rs
@@ -20,9 +20,11 @@
 mod plain;
 mod platform;
 mod record;
+mod report;
 mod run;
 mod shell;
 mod stream;
+mod tallies;
 mod telemetry;
 mod watch;
 
--- a/agaterouted/src/ops.rs
+++ b/agaterouted/src/ops.rs
@@ -11,6 +11,7 @@
 
 use crate::front::text;
 use crate::generation::json_response;
+use crate::report;
 use crate::shell::Shell;
 
 /// Serves one request of an operator.
@@ -20,6 +21,7 @@
         "/readyz" if shell.ready() => text(StatusCode::OK, "ready\n"),
         "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/metrics" => metrics(&shell),
+        "/report" => report_page(&shell, request.uri().query()).await,
         "/status" => json_response(&status(&shell)),
         path => text(StatusCode::NOT_FOUND, format!("path {path:?} does not exist\n")),
     })
@@ -32,6 +34,30 @@
     response
 }
 
+/// The report of a day, by default of today.
+async fn report_page(shell: &Shell, query: Option<&str>) -> WebResponse {
+    let day = query.and_then(|q| q.strip_prefix("day="));
+    if day.is_some_and(|d| !is_day(d)) {
+        return text(StatusCode::BAD_REQUEST, "day is not YYYY-MM-DD\n");
+    }
+    match report::page(shell, day).await {
+        Ok(page) => {
+            let mut response = text(StatusCode::OK, page);
+            let kind = HeaderValue::from_static("text/html; charset=utf-8");
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            response
+        }
+        Err(e) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{e}\n")),
+    }
+}
+
+fn is_day(text: &str) -> bool {
+    let digits =
+        |part: &str, count| part.len() == count && part.bytes().all(|b| b.is_ascii_digit());
+    let parts: Vec<&str> = text.split('-').collect();
+    matches!(parts[..], [y, m, d] if digits(y, 4) && digits(m, 2) && digits(d, 2))
+}
+
 /// What the instance knows: its configuration, its peers and the desks of its backend servers.
 fn status(shell: &Shell) -> Value {
     let in_force = shell.in_force();
--- /dev/null
+++ b/agaterouted/src/report.rs
@@ -0,0 +1,416 @@
+//! The report of a day: reads the tallies of all instances and writes the page.
+
+use agateroute_core::Table;
+use agateroute_core::tally::{OUTCOMES, Tally, Times};
+use agateroute_platform::PlatformError;
+use maud::{DOCTYPE, Markup, PreEscaped, html};
+
+use crate::shell::{InForce, Shell};
+use crate::tallies::{TallyEntry, TallyRecord, day_of, flush, unix_seconds};
+
+/// The rows that are read at once.
+const PAGE: usize = 200;
+/// The share of requests that has to be whole and on time for a day to have gone well.
+const WELL_SHARE: f64 = 0.95;
+/// The flushes that an instance may miss before it counts as silent.
+const MISSED_FLUSHES: u64 = 3;
+/// The columns of outcomes.
+const OUTCOME_NAMES: [&str; OUTCOMES] =
+    ["on time", "late", "not run", "partial", "unknown", "cancelled"];
+/// The size of a plot.
+const PLOT_WIDTH: f64 = 320.0;
+const PLOT_HEIGHT: f64 = 120.0;
+
+const STYLE: &str = "body{font:16px/1.5 system-ui,sans-serif;margin:2rem auto;max-width:70rem;\
+padding:0 1rem;color:#1b1b1b}h1{font-size:1.5rem}h2{font-size:1.15rem;margin-top:2rem}\
+.verdict{font-size:1.25rem;border-left:.4rem solid #2a7a3b;padding-left:.8rem}\
+.verdict.bad{border-color:#b03020}.scroll{overflow-x:auto}table{border-collapse:collapse;width:100%}\
+th,td{padding:.25rem .6rem;text-align:right;border-bottom:1px solid #ddd;white-space:nowrap}\
+th:first-child,td:first-child,td.text,th.text{text-align:left}\
+td.bad{color:#b03020;font-weight:600}.plots{display:flex;flex-wrap:wrap;gap:1.5rem}\
+figure{margin:0}figcaption{font-size:.85rem}svg{max-width:100%}\
+@media print{body{margin:0;max-width:none;font-size:11px}a{color:inherit}}";
+
+/// What is known of a day.
+#[derive(Clone, Debug, Default)]
+pub struct DayData {
+    /// The day.
+    pub day: String,
+    /// The tallies by member, kind and rank.
+    pub tallies: Table<(String, String, String), Tally>,
+    /// The instances that counted.
+    pub instances: Vec<Covered>,
+    /// The time of the page, in seconds since 1970.
+    pub now: u64,
+    /// The time after which an instance counts as silent, in seconds.
+    pub patience: u64,
+}
+
+/// The time that an instance has counted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Covered {
+    /// The instance.
+    pub instance: String,
+    /// Its start number.
+    pub start: u64,
+    /// From when, in seconds since 1970.
+    pub from: u64,
+    /// Until when, in seconds since 1970.
+    pub until: u64,
+    /// Whether it stopped in good order.
+    pub closed: bool,
+}
+
+/// Reads a day and writes its page.
+pub async fn page(shell: &Shell, day: Option<&str>) -> Result<String, PlatformError> {
+    let now = unix_seconds();
+    let day = day.map_or_else(|| day_of(now), str::to_owned);
+    flush(shell, false).await;
+    let data = read(shell, &day, now).await?;
+    Ok(render(&shell.in_force(), &data).into_string())
+}
+
+async fn read(shell: &Shell, day: &str, now: u64) -> Result<DayData, PlatformError> {
+    let tally_ms = shell.in_force().document.routing.tally_ms;
+    let patience = (tally_ms * MISSED_FLUSHES).div_ceil(1000) + 1;
+    let mut data = DayData { day: day.to_owned(), now, patience, ..DayData::default() };
+    let Some(platform) = &shell.platform else { return Ok(data) };
+    let mut after = " ".to_owned();
+    loop {
+        let rows = platform.table.query(&format!("tally-{day}"), &after, PAGE).await?;
+        let Some(last) = rows.last() else { return Ok(data) };
+        after.clone_from(&last.sort);
+        for row in &rows {
+            if let Ok(record) = serde_json::from_str(&row.value) {
+                data.add(record);
+            }
+        }
+    }
+}
+
+impl DayData {
+    /// Adds a row of an instance.
+    pub fn add(&mut self, record: TallyRecord) {
+        let covered = Covered {
+            instance: record.instance,
+            start: record.start,
+            from: record.from,
+            until: record.until,
+            closed: record.closed,
+        };
+        if !self.instances.contains(&covered) {
+            self.instances.push(covered);
+        }
+        for TallyEntry { member, kind, rank, tally } in record.entries {
+            self.tallies.entry((member, kind, rank), Tally::default).merge(&tally);
+        }
+    }
+
+    /// What is not known: instances that fell silent, and for how long at most.
+    fn gaps(&self) -> Vec<String> {
+        let mut gaps = Vec::new();
+        for covered in self.instances.iter().filter(|c| !c.closed) {
+            if covered.until + self.patience >= self.now {
+                continue;
+            }
+            let successor = self
+                .instances
+                .iter()
+                .filter(|c| c.instance == covered.instance && c.start > covered.start)
+                .map(|c| c.from)
+                .min();
+            let end = successor.unwrap_or(self.now);
+            let seconds = end.saturating_sub(covered.until);
+            gaps.push(format!(
+                "{} was last heard at {} and not for up to {seconds} s after it; what it served then \
+                 is not in the figures",
+                covered.instance,
+                clock(covered.until),
+            ));
+        }
+        gaps
+    }
+
+    fn by_rank(&self, member: &str, rank: &str) -> Tally {
+        let mut sum = Tally::default();
+        for ((m, _, r), tally) in self.tallies.iter() {
+            if m == member && r == rank {
+                sum.merge(tally);
+            }
+        }
+        sum
+    }
+
+    fn members(&self) -> Vec<String> {
+        let mut all: Vec<String> = self.tallies.keys().map(|(m, _, _)| m.clone()).collect();
+        all.dedup();
+        all
+    }
+
+    fn ranks(&self) -> Vec<String> {
+        let mut all: Vec<String> = self.tallies.keys().map(|(_, _, r)| r.clone()).collect();
+        all.sort();
+        all.dedup();
+        all
+    }
+}
+
+/// A time of the day in UTC.
+fn clock(seconds: u64) -> String {
+    let second = seconds % 86_400;
+    format!("{:02}:{:02}:{:02} UTC", second / 3600, second / 60 % 60, second % 60)
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 1.0 } else { part as f64 / whole as f64 }
+}
+
+/// Requests that count against an instance: all but those that their callers gave up.
+fn answered(tally: &Tally) -> u64 {
+    tally.total() - tally.ended[5]
+}
+
+/// Why a member's day did not go well, if it did not.
+fn complaints(data: &DayData, member: &str) -> Vec<String> {
+    let mut all = Vec::new();
+    for rank in data.ranks() {
+        let tally = data.by_rank(member, &rank);
+        let asked = answered(&tally);
+        if share(tally.ended[0], asked) < WELL_SHARE {
+            let missed = asked - tally.ended[0];
+            all.push(format!("{rank}: {missed} of {asked} not whole and on time"));
+        }
+        if tally.ended[4] > 0 {
+            all.push(format!("{rank}: {} with unknown outcome", tally.ended[4]));
+        }
+    }
+    all
+}
+
+/// The sentence at the top.
+fn verdict(data: &DayData) -> (bool, String) {
+    let bad: Vec<String> = data
+        .members()
+        .iter()
+        .filter_map(|m| {
+            let why = complaints(data, m);
+            (!why.is_empty()).then(|| format!("{m} ({})", why.join(", ")))
+        })
+        .collect();
+    let unknown = !data.gaps().is_empty();
+    match (bad.is_empty(), unknown) {
+        (true, false) if data.tallies.is_empty() => (true, "No member asked for anything.".into()),
+        (true, false) => (true, "The day went well for every member.".into()),
+        (true, true) => (
+            false,
+            "As far as is known, the day went well for every member; but some of it is not known."
+                .into(),
+        ),
+        (false, false) => (false, format!("The day did not go well for {}.", bad.join("; "))),
+        (false, true) => (
+            false,
+            format!("The day did not go well for {}, and some of it is not known.", bad.join("; ")),
+        ),
+    }
+}
+
+/// Writes the page.
+pub fn render(in_force: &InForce, data: &DayData) -> Markup {
+    let deployment = &in_force.document.deployment;
+    let (well, sentence) = verdict(data);
+    html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                meta name="viewport" content="width=device-width, initial-scale=1";
+                title { (deployment) " on " (data.day) }
+                style { (PreEscaped(STYLE)) }
+            }
+            body {
+                h1 { (deployment) " on " (data.day) }
+                p class=(if well { "verdict" } else { "verdict bad" }) { (sentence) }
+                (unknown_section(data))
+                (member_table(in_force, data))
+                (outcome_table(data))
+                (stream_section(data))
+                (instance_table(data))
+                p { "Written at " (clock(data.now)) ". Times are counted in buckets and may be up to "
+                    "10 percent too high. A request counts as on time when its first token, and 95 in "
+                    "100 of the gaps between its tokens, or its whole plain answer, met the targets "
+                    "of its rank." }
+            }
+        }
+    }
+}
+
+fn unknown_section(data: &DayData) -> Markup {
+    let gaps = data.gaps();
+    html! {
+        h2 { "What is not known" }
+        @if gaps.is_empty() {
+            p { "Every instance that served on this day has reported all of it." }
+        } @else {
+            ul { @for gap in gaps { li { (gap) } } }
+        }
+    }
+}
+
+fn member_table(in_force: &InForce, data: &DayData) -> Markup {
+    let document = &in_force.document;
+    let owed: u32 = document.members.iter().map(|m| m.share).sum();
+    let all_tokens: u64 = data.tallies.values().map(|t| t.tokens).sum();
+    let ranks = data.ranks();
+    html! {
+        h2 { "Members" }
+        div class="scroll" { table {
+            thead { tr {
+                th { "member" } th { "owed" } th { "asked" } th { "got whole and on time" }
+                th { "tokens" } th { "of all tokens" }
+                @for rank in &ranks { th { (rank) ": on time" } }
+                th { "refused" } th { "unknown" }
+            } }
+            tbody { @for member in data.members() {
+                @let sum = sum_of(data, &member);
+                @let share_owed = document.member(&member).map(|m| m.share);
+                tr {
+                    td { (member) }
+                    td { @if let Some(s) = share_owed { (percent(f64::from(s) / f64::from(owed))) } }
+                    td { (sum.total()) } td { (sum.ended[0]) }
+                    td { (sum.tokens) } td { (percent(share(sum.tokens, all_tokens))) }
+                    @for rank in &ranks {
+                        @let tally = data.by_rank(&member, rank);
+                        @let on_time = share(tally.ended[0], answered(&tally));
+                        td class=(if on_time < WELL_SHARE { "bad" } else { "" }) {
+                            @if tally.total() > 0 { (percent(on_time)) } @else { "–" }
+                        }
+                    }
+                    td { (sum.ended[2]) }
+                    td class=(if sum.ended[4] > 0 { "bad" } else { "" }) { (sum.ended[4]) }
+                }
+            } }
+        } }
+    }
+}
+
+fn sum_of(data: &DayData, member: &str) -> Tally {
+    let mut sum = Tally::default();
+    for rank in data.ranks() {
+        sum.merge(&data.by_rank(member, &rank));
+    }
+    sum
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.1}%", share * 100.0)
+}
+
+fn outcome_table(data: &DayData) -> Markup {
+    html! {
+        h2 { "Outcomes by member and kind" }
+        div class="scroll" { table {
+            thead { tr {
+                th { "member" } th class="text" { "kind" } th class="text" { "rank" } th { "asked" }
+                @for name in OUTCOME_NAMES { th { (name) } }
+                th { "tokens" } th { "stalls" } th { "stalled s" }
+                th { "first ms p50 / p95" } th { "gap ms p95 / p99" }
+            } }
+            tbody { @for ((member, kind, rank), tally) in data.tallies.iter() {
+                tr {
+                    td { (member) } td class="text" { (kind) } td class="text" { (rank) }
+                    td { (tally.total()) }
+                    @for count in tally.ended { td { (count) } }
+                    td { (tally.tokens) } td { (tally.stalls) }
+                    td { (format!("{:.1}", tally.stalled_ms as f64 / 1000.0)) }
+                    td { (tally.first.quantile(0.5)) " / " (tally.first.quantile(0.95)) }
+                    td { @if tally.gaps.count() > 0 {
+                        (tally.gaps.quantile(0.95)) " / " (tally.gaps.quantile(0.99))
+                    } @else { "–" } }
+                }
+            } }
+        } }
+    }
+}
+
+fn stream_section(data: &DayData) -> Markup {
+    html! {
+        h2 { "Times" }
+        div class="plots" {
+            @for rank in data.ranks() {
+                @let sum = rank_sum(data, &rank);
+                (plot(&format!("{rank}: time to the first token or plain answer, ms"), &sum.first))
+                @if sum.gaps.count() > 0 {
+                    (plot(&format!("{rank}: time between tokens, ms"), &sum.gaps))
+                }
+            }
+        }
+    }
+}
+
+fn rank_sum(data: &DayData, rank: &str) -> Tally {
+    let mut sum = Tally::default();
+    for ((_, _, r), tally) in data.tallies.iter() {
+        if r == rank {
+            sum.merge(tally);
+        }
+    }
+    sum
+}
+
+/// A plot of how many times were at most how long, on a logarithmic axis.
+fn plot(caption: &str, times: &Times) -> Markup {
+    let buckets = times.buckets();
+    let longest = buckets.last().map_or(10, |(ms, _)| (*ms).max(10)) as f64;
+    let x = |ms: f64| 30.0 + (PLOT_WIDTH - 40.0) * ms.max(1.0).ln() / longest.ln();
+    let y = |part: f64| PLOT_HEIGHT - 20.0 - (PLOT_HEIGHT - 30.0) * part;
+    let total = times.count().max(1) as f64;
+    let mut points = format!("{:.1},{:.1}", x(1.0), y(0.0));
+    let mut sum = 0.0;
+    for (ms, count) in &buckets {
+        points += &format!(" {:.1},{:.1}", x(*ms as f64), y(sum / total));
+        sum += f64::from(*count);
+        points += &format!(" {:.1},{:.1}", x(*ms as f64), y(sum / total));
+    }
+    let ticks = (0..8).map(|e| 10_f64.powi(e)).filter(|t| *t <= longest);
+    html! {
+        figure {
+            svg viewBox=(format!("0 0 {PLOT_WIDTH} {PLOT_HEIGHT}")) width=(PLOT_WIDTH)
+                height=(PLOT_HEIGHT) role="img" aria-label=(caption) {
+                @for part in [0.0, 0.5, 0.95] {
+                    line x1="30" x2=(PLOT_WIDTH - 10.0) y1=(y(part)) y2=(y(part)) stroke="#ccc" {}
+                    text x="26" y=(y(part) + 3.0) font-size="9" text-anchor="end" {
+                        (format!("{:.0}%", part * 100.0))
+                    }
+                }
+                @for tick in ticks {
+                    line x1=(x(tick)) x2=(x(tick)) y1=(y(0.0)) y2=(y(1.0)) stroke="#eee" {}
+                    text x=(x(tick)) y=(PLOT_HEIGHT - 6.0) font-size="9" text-anchor="middle" {
+                        (tick)
+                    }
+                }
+                polyline points=(points) fill="none" stroke="#1f5fa8" stroke-width="1.5" {}
+            }
+            figcaption { (caption) ": " (times.count()) ", half within " (times.quantile(0.5))
+                ", 95 in 100 within " (times.quantile(0.95)) }
+        }
+    }
+}
+
+fn instance_table(data: &DayData) -> Markup {
+    html! {
+        h2 { "Instances" }
+        div class="scroll" { table {
+            thead { tr {
+                th { "instance" } th { "start" } th { "counted from" } th { "until" }
+                th { "stopped in good order" }
+            } }
+            tbody { @for covered in &data.instances {
+                tr {
+                    td { (covered.instance) } td { (covered.start) }
+                    td { (clock(covered.from)) } td { (clock(covered.until)) }
+                    td { (if covered.closed { "yes" } else { "no" }) }
+                }
+            } }
+        } }
+    }
+}
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -17,6 +17,7 @@
 use crate::auth::KeyRing;
 use crate::jobs::Job;
 use crate::platform::Platform;
+use crate::tallies::Book;
 use crate::telemetry::Telemetry;
 
 /// The document in force, with what is derived from it.
@@ -73,6 +74,7 @@
     claims: Table<RequestId, oneshot::Sender<(ClaimOutcome, String)>>,
     links: Table<Id, Link>,
     jobs: mpsc::UnboundedSender<Job>,
+    book: Arc<Book>,
 }
 
 /// The shell of one instance.
@@ -86,6 +88,8 @@
     pub me: Peer,
     /// The platform's services, where there are some.
     pub platform: Option<Platform>,
+    /// The tallies.
+    pub book: Arc<Book>,
     /// The requests in progress.
     pub active: AtomicI64,
     /// Wakes who follows the configuration.
@@ -111,11 +115,13 @@
         let me = Peer { name: settings.instance.clone(), start: start as u64 };
         let document = Arc::new(empty_document());
         let state = State::new(&me, document.clone(), rand::random());
+        let book = Arc::new(Book::default());
         let platform = settings.platform.as_ref().map(Platform::new);
         Shell {
             settings,
             telemetry,
             platform,
+            book: book.clone(),
             active: AtomicI64::new(0),
             version_seen: Notify::new(),
             newest: AtomicU64::new(0),
@@ -125,6 +131,7 @@
                 claims: Table::default(),
                 links: Table::default(),
                 jobs,
+                book,
             }),
             in_force: RwLock::new(Arc::new(InForce::new(0, document))),
             first: Mutex::new(None),
@@ -254,6 +261,14 @@
         self.in_force().version > 0
     }
 
+    /// Sends a message to all linked peers.
+    pub fn tell_peers(&self, body: &Body) {
+        let inner = self.lock();
+        for peer in inner.links.keys() {
+            inner.send(*peer, body.clone());
+        }
+    }
+
     /// The peer addresses of all linked instances.
     pub fn peer_addresses(&self) -> Vec<String> {
         self.lock().links.values().map(|l| l.address.clone()).collect()
@@ -305,6 +320,7 @@
                     let _ = waiter.send((outcome, record));
                 }
             }
+            Effect::HoldTally(row) => self.book.hold(row),
             Effect::KeepSuspect { fingerprint, crashes } => {
                 let _ = self.jobs.send(Job::KeepSuspect { fingerprint, crashes });
             }
--- a/agatestand/src/platform.rs
+++ b/agatestand/src/platform.rs
@@ -263,6 +263,10 @@
     item.get(key).and_then(|v| v.get("S")).and_then(Value::as_str).unwrap_or_default()
 }
 
+fn text_of(row: &Map<String, Value>) -> &str {
+    row.get("tag").and_then(|t| t["S"].as_str()).unwrap_or_default()
+}
+
 fn key_of(item: &Value) -> (String, String) {
     (text(item, "pk").to_owned(), text(item, "sk").to_owned())
 }
@@ -335,6 +339,7 @@
             "attribute_not_exists(pk)" => found.is_none(),
             "#tag = :tag" => has_tag,
             "attribute_not_exists(pk) OR #tag = :tag" => found.is_none() || has_tag,
+            "attribute_not_exists(pk) OR #tag < :tag" => found.is_none_or(|f| text_of(f) < tag),
             _ => false,
         };
         match (holds, found) {
--- /dev/null
+++ b/scripts/extra.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Writes the man pages, the completions and the configuration reference from the code.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cargo build --locked --workspace
+for tool in agatectl agaterouted agatestand; do
+    "target/debug/$tool" --bpaf-complete-style-bash >"extra/$tool.bash"
+    "target/debug/$tool" --bpaf-complete-style-zsh >"extra/_$tool"
+    "target/debug/$tool" --bpaf-complete-style-fish >"extra/$tool.fish"
+done
+target/debug/agatectl man >extra/agatectl.1
+target/debug/agatectl config reference >docs/CONFIGURATION.md
+target/debug/agatectl config schema >extra/document.schema.json
