--- a/agaterouted/src/ops.rs
+++ b/agaterouted/src/ops.rs
@@ -76,6 +76,7 @@
         "active": shell.active.load(Ordering::Acquire),
         "waiting": waiting,
         "running": running,
+        "held_rows": shell.book.held_rows(),
         "peers": peers,
         "servers": desks,
     })
--- a/agaterouted/src/tallies.rs
+++ b/agaterouted/src/tallies.rs
@@ -43,6 +43,13 @@
     pub entries: Vec<TallyEntry>,
 }
 
+impl TallyRecord {
+    /// The requests that the row counts.
+    pub fn requests(&self) -> u64 {
+        self.entries.iter().map(|e| e.tally.total()).sum()
+    }
+}
+
 /// The tally of one member, kind and rank.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct TallyEntry {
@@ -87,6 +94,11 @@
         }
     }
 
+    /// The number of rows held for peers.
+    pub fn held_rows(&self) -> usize {
+        self.lock().held.len()
+    }
+
     fn held(&self) -> Vec<(String, String)> {
         self.lock().held.iter().map(|(k, v)| (k.clone(), v.clone())).collect()
     }
@@ -183,7 +195,8 @@
             .map(|(row, _, _)| Write { row, condition: Condition::Newer(&row.tag) })
             .collect();
         if let Err(error) = platform.table.transact(&writes).await {
-            spdlog::warn!("tallies_not_written", kv: { error: });
+            let requests: u64 = rows.iter().map(|(_, r)| r.requests()).sum();
+            spdlog::warn!("tallies_not_written", kv: { requests, error: });
             for (_, name, text) in chunk {
                 let row = TallyRow { row: name.clone(), record: text.clone() };
                 shell.tell_peers(&Body::TallyRow(row));
--- a/agatestand/src/service.rs
+++ b/agatestand/src/service.rs
@@ -156,6 +156,7 @@
             "method": head.method.as_str(),
             "path": head.uri.path(),
             "query": head.uri.query(),
+            "traceparent": text(&head.headers, "traceparent"),
             "member": text(&head.headers, "agateroute-member"),
             "execution": execution,
             "bytes": body.len(),
