--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fairness;
 pub mod health;
 pub mod id;
+pub mod lease;
 pub mod ledger;
 pub mod membership;
 pub mod memory;
--- a/agatestand/src/compare.rs
+++ b/agatestand/src/compare.rs
@@ -54,16 +54,21 @@
     if plan.alone {
         policies.clear();
     }
+    print_head(plan);
     let mut results = Vec::new();
     for (name, policy) in policies {
         let spread = Spread::new(policy, &engines);
         let calls = Spread::new(Policy::LeastOutstanding, &services);
         let aim = Aim::Direct { engines: spread, services: calls };
-        results.push((name, one_run(plan, &aim, &engines).await));
+        let result = one_run(plan, &aim, &engines).await;
+        print_row(plan, &name, &result);
+        results.push((name, result));
     }
     let aim = Aim::Balanced(plan.targets.clone());
-    results.push(("agateroute".to_owned(), one_run(plan, &aim, &engines).await));
-    print(plan, &results);
+    let result = one_run(plan, &aim, &engines).await;
+    print_row(plan, "agateroute", &result);
+    results.push(("agateroute".to_owned(), result));
+    print_members(plan, &results);
 }
 
 async fn one_run(plan: &Plan, aim: &Aim, engines: &[String]) -> RunResult {
@@ -85,7 +90,7 @@
     result
 }
 
-fn print(plan: &Plan, results: &[(String, RunResult)]) {
+fn print_head(plan: &Plan) {
     println!(
         "case {:?}, seed {}, {} s of arrivals, {} generations/s at 80 percent\n",
         plan.case, plan.seed, plan.seconds, plan.rate
@@ -96,9 +101,9 @@
          violations |"
     );
     println!("|{}", " --- |".repeat(14));
-    for (name, result) in results {
-        print_row(plan, name, result);
-    }
+}
+
+fn print_members(plan: &Plan, results: &[(String, RunResult)]) {
     println!();
     for (name, result) in results {
         println!("{name}: share on time by member, deferrable generations");
