--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -34,7 +34,9 @@
 const ASKER_MS: Millis = 3_000;
 /// The change of the load that is worth telling, in thousandths of what the server can take.
 const LOAD_STEP: u32 = 20;
-/// The weight of the newest interval in the mean interval between permits.
+/// How much longer than its time an ask may be predicted to wait before it is denied at once.
+const PREDICTION_SLACK: f64 = 1.25;
+/// The weight of the newest interval in the mean interval between departures from the queue.
 const INTERVAL_WEIGHT: f64 = 0.1;
 
 record! {
@@ -98,7 +100,7 @@
         pub since: Millis,
         samples: Vec<Sample>,
         interval: Option<f64>,
-        granted: Millis,
+        departed: Millis,
         askers: Table<Id, Millis>,
         told: (Millis, u32),
     }
@@ -150,7 +152,7 @@
             askers: Table::default(),
             told: (now, 0),
             interval: None,
-            granted: now,
+            departed: now,
         }
     }
 
@@ -193,14 +195,14 @@
         }
     }
 
-    /// Whether the target of an ask can not be met, judged by the pace of permits and by how many
+    /// Whether the target of an ask can not be met, judged by the pace of the queue and by how many
     /// go first. Returns the reason and when asking again makes sense.
     fn hopeless(&self, ask: &Ask, around: &Surroundings<'_>) -> Option<(DenyReason, u32)> {
         let interval = self.interval?;
         let ahead = admission::ahead(self, ask, around);
         let predicted = interval * ahead;
         let wait = f64::from(ask.wait_ms);
-        if predicted <= wait {
+        if predicted <= wait * PREDICTION_SLACK {
             return None;
         }
         let retry_ms = (predicted - wait).clamp(1_000.0, 60_000.0) as u32;
@@ -223,7 +225,11 @@
         around: &Surroundings<'_>,
         out: &mut Vec<Reply>,
     ) {
-        self.waiting.retain(|w| (w.peer, w.ask.request) != (peer, request));
+        let waits = |w: &Waiting| (w.peer, w.ask.request) == (peer, request);
+        if let Some(at) = self.waiting.iter().position(waits) {
+            let waiting = self.waiting.remove(at);
+            self.pace(waiting.since, around.now);
+        }
         if let Ok(at) = self.held_at(peer, request) {
             let held = self.running.remove(at);
             let share = around.catalog.share(held.class.member);
@@ -494,13 +500,14 @@
         out.push((waiting.peer, self.grant_message(ask.request)));
     }
 
-    /// Learns the pace of permits while requests wait.
+    /// Learns the pace at which waiting requests leave the queue: with a permit from here, or with one
+    /// from another server that they asked for too.
     fn pace(&mut self, since: Millis, now: Millis) {
         if since < now {
-            let passed = now.saturating_sub(self.granted.max(since)) as f64;
+            let passed = now.saturating_sub(self.departed.max(since)) as f64;
             let mean = self.interval.unwrap_or(passed);
             self.interval = Some(mean + INTERVAL_WEIGHT * (passed - mean));
         }
-        self.granted = now;
+        self.departed = now;
     }
 }
