Load what is declared, under a lease with a fencing number

Change: the holder of the lease compares what engines have loaded with what is declared and orders what is missing, one thing at a time and at the rate of the weight store; status shows wanted beside found. With it: counters of control traffic, synthetic documents and the slopes of what an instance uses.

--- a/agatectl/src/status.rs
+++ b/agatectl/src/status.rs
@@ -74,6 +74,27 @@
             report["preemptions"],
         );
     }
+    show_fleet(status);
+}
+
+/// Shows what should be loaded beside what is, where the instance holds the lease.
+fn show_fleet(status: &Value) {
+    if status["fencing"].is_null() {
+        return;
+    }
+    println!("  fleet orders under fencing number {}", status["fencing"]);
+    for engine in status["fleet"].as_array().into_iter().flatten() {
+        let names = |list: &Value| match list.as_array() {
+            Some(all) => all.iter().map(text).collect::<Vec<_>>().join(","),
+            None => "no answer".to_owned(),
+        };
+        println!(
+            "  server={} wanted={} found={}",
+            text(&engine["server"]),
+            names(&engine["wanted"]),
+            names(&engine["found"]),
+        );
+    }
 }
 
 fn text(value: &Value) -> &str {
--- a/agateroute_core/src/lease.rs
+++ b/agateroute_core/src/lease.rs
@@ -5,6 +5,8 @@
 //! the time is over since it *sent* the write that renewed it. So steps of wall clocks do no harm. The
 //! fencing number grows with each holder and travels with each order. See `docs/DESIGN.md`, "Leases".
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::Millis;
 
 record! {
@@ -21,6 +23,7 @@
     }
 
     /// The row of a lease.
+    #[derive(Deserialize, Serialize)]
     pub struct LeaseRow {
         /// The fencing number.
         pub fencing: u64,
--- a/agaterouted/src/engine.rs
+++ b/agaterouted/src/engine.rs
@@ -26,6 +26,28 @@
     pub priority: u8,
 }
 
+/// A model or adapter in a version, as an engine has it loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, derive_more::Display)]
+#[display("{id}@{version}")]
+pub struct Loaded {
+    /// The model, or `model:adapter`.
+    pub id: String,
+    /// The version.
+    #[serde(default)]
+    pub version: String,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug)]
+pub struct FleetOrder<'a> {
+    /// The fencing number of the lease that it is given under.
+    pub fencing: u64,
+    /// `load` or `role`.
+    pub action: &'a str,
+    /// What to load.
+    pub subject: &'a Loaded,
+}
+
 /// A chunk of a generation.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Chunk<'a> {
@@ -65,6 +87,12 @@
     pub cancel: fn(&str, &str) -> ServerRequest,
     /// Encodes a read of the load report.
     pub report: fn(&str) -> ServerRequest,
+    /// Encodes a read of what is loaded.
+    pub loaded: fn(&str) -> ServerRequest,
+    /// Encodes an order to load something or change role.
+    pub order: fn(&str, &FleetOrder<'_>) -> ServerRequest,
+    /// Decodes what is loaded.
+    pub decode_loaded: fn(&[u8]) -> serde_json::Result<Vec<Loaded>>,
     /// Decodes a chunk.
     pub decode: for<'a> fn(&'a str) -> serde_json::Result<Chunk<'a>>,
     /// Decodes a load report.
@@ -77,6 +105,9 @@
     resume: openai_resume,
     cancel: openai_cancel,
     report: load_report,
+    loaded: openai_loaded,
+    order: engine_order,
+    decode_loaded: openai_decode_loaded,
     decode: openai_decode,
     decode_report: read_load_report,
 };
@@ -116,6 +147,29 @@
     build(Method::GET, address, "/load", "")
 }
 
+fn openai_loaded(address: &str) -> ServerRequest {
+    build(Method::GET, address, "/v1/models", "")
+}
+
+fn engine_order(address: &str, order: &FleetOrder<'_>) -> ServerRequest {
+    let body = json!({
+        "fencing": order.fencing,
+        "action": order.action,
+        "subject": order.subject.id,
+        "version": order.subject.version,
+    });
+    build(Method::POST, address, "/orders", body.to_string())
+}
+
+fn openai_decode_loaded(body: &[u8]) -> serde_json::Result<Vec<Loaded>> {
+    #[derive(Deserialize)]
+    struct List {
+        data: Vec<Loaded>,
+    }
+    let list: List = serde_json::from_slice(body)?;
+    Ok(list.data)
+}
+
 #[derive(Deserialize)]
 struct WireChunk<'a> {
     #[serde(borrow, default)]
--- /dev/null
+++ b/agaterouted/src/fleet.rs
@@ -0,0 +1,223 @@
+//! Brings about what the document declares to be loaded, under a lease with a fencing number.
+//!
+//! One instance at a time holds the lease and gives orders. Each order carries the fencing number;
+//! on servers that ignore it a new holder also waits out the longest order of its predecessor.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use agateroute_config::Document;
+use agateroute_config::server::{Fencing, Server};
+use agateroute_core::lease::{Lease, LeaseEffect, LeaseRow, LeaseTimes};
+use agateroute_platform::error::Cause;
+use agateroute_platform::table::{Condition, Outcome, Row, Write};
+use http::StatusCode;
+use http_body_util::{BodyExt, Limited};
+use tokio_util::sync::CancellationToken;
+
+use crate::client::client;
+use crate::engine::{FleetOrder, Loaded, OPENAI, ServerRequest};
+use crate::platform::Platform;
+use crate::shell::{Shell, millis};
+
+/// The partition and the sort key of the lease.
+const LEASE_PARTITION: &str = "lease";
+const LEASE_SORT: &str = "fleet";
+/// The times of the lease.
+const LEASE_TIMES: LeaseTimes =
+    LeaseTimes { lease_ms: 3_000, margin_ms: 1_000, renew_ms: 500, order_ms: 1_000 };
+/// How often the lease and the fleet are looked at.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+/// The pause after the weight store limited the rate.
+const WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
+/// The longest list of loaded models that is read, in bytes.
+const LIST_MOST: usize = 256 * 1024;
+
+/// What is wanted and found on one engine.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct EngineFleet {
+    /// The engine.
+    pub server: String,
+    /// What it should have loaded, as `name@version`.
+    pub wanted: Vec<String>,
+    /// What it has loaded, or none where it did not answer.
+    pub found: Option<Vec<String>>,
+}
+
+/// What the holder of the lease knows of the fleet.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    state: Mutex<(Option<u64>, Vec<EngineFleet>)>,
+}
+
+impl FleetView {
+    fn lock(&self) -> MutexGuard<'_, (Option<u64>, Vec<EngineFleet>)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The fencing number of this instance, if it holds the lease, and what it found.
+    pub fn get(&self) -> (Option<u64>, Vec<EngineFleet>) {
+        self.lock().clone()
+    }
+
+    fn set(&self, fencing: Option<u64>, engines: Vec<EngineFleet>) {
+        *self.lock() = (fencing, engines);
+    }
+}
+
+/// What an engine should have loaded: its models, and their adapters as `model:adapter`.
+fn wanted(document: &Document, server: &Server) -> Vec<Loaded> {
+    let engine = server.engine.iter();
+    let models = engine.flat_map(|e| &e.models).filter_map(|m| document.model(m));
+    let mut all = Vec::new();
+    for model in models {
+        all.push(Loaded { id: model.name.clone(), version: model.version.clone() });
+        let adapters = model.adapters.iter();
+        all.extend(adapters.map(|a| Loaded {
+            id: format!("{}:{}", model.name, a.name),
+            version: a.version.clone(),
+        }));
+    }
+    all
+}
+
+/// Keeps the lease and gives orders while it is held, until cancelled.
+pub async fn run(shell: Arc<Shell>, cancel: CancellationToken) {
+    let Some(platform) = &shell.platform else { return };
+    let mut lease = Lease::new(format!("{}/{}", shell.me.name, shell.me.start), LEASE_TIMES);
+    while !cancel.is_cancelled() {
+        if let Some(effect) = lease.tick(shell.now()) {
+            carry_out(&shell, platform, &mut lease, effect).await;
+        }
+        if shell.configured() && lease.acting(shell.now()).is_some() {
+            bring_about(&shell, platform, &mut lease).await;
+        } else {
+            shell.fleet.set(None, Vec::new());
+        }
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = tokio::time::sleep(LOOK_PAUSE) => {}
+        }
+    }
+    if let Some(effect) = lease.give_back(shell.now()) {
+        carry_out(&shell, platform, &mut lease, effect).await;
+    }
+}
+
+async fn carry_out(shell: &Shell, platform: &Platform, lease: &mut Lease, effect: LeaseEffect) {
+    match effect {
+        LeaseEffect::Read => match platform.table.get(LEASE_PARTITION, LEASE_SORT).await {
+            Ok(row) => {
+                let row = row.and_then(|r| serde_json::from_str::<LeaseRow>(&r.value).ok());
+                lease.was_read(shell.now(), row);
+            }
+            Err(error) => spdlog::warn!("lease_not_read", kv: { error: }),
+        },
+        LeaseEffect::Write { row, expected } => {
+            let done = write(platform, &row, expected.as_ref()).await;
+            lease.was_written(shell.now(), done);
+            if done == Some(true) && row.renewal == 0 {
+                spdlog::info!("lease_taken", kv: { fencing = row.fencing });
+            }
+        }
+    }
+}
+
+/// Writes the row of the lease. Returns none where the outcome is not known.
+async fn write(platform: &Platform, row: &LeaseRow, expected: Option<&LeaseRow>) -> Option<bool> {
+    let written = Row {
+        partition: LEASE_PARTITION.to_owned(),
+        sort: LEASE_SORT.to_owned(),
+        tag: row.tag(),
+        value: serde_json::to_string(row).ok()?,
+        expires: 0,
+    };
+    let tag = expected.map(LeaseRow::tag);
+    let condition = tag.as_deref().map_or(Condition::Absent, Condition::Tag);
+    match platform.table.transact(&[Write { row: &written, condition }]).await {
+        Ok(Outcome::Done) => Some(true),
+        Ok(Outcome::Conflict(_)) => Some(false),
+        Err(error) => {
+            spdlog::warn!("lease_not_written", kv: { error: });
+            None
+        }
+    }
+}
+
+/// Compares what is wanted with what is found, and orders what is missing, one thing at a time. The
+/// lease is renewed between two orders.
+async fn bring_about(shell: &Shell, platform: &Platform, lease: &mut Lease) {
+    let in_force = shell.in_force();
+    let document = &in_force.document;
+    let mut view = Vec::new();
+    for server in document.servers.iter().filter(|s| s.engine.is_some()) {
+        let wanted = wanted(document, server);
+        let found = read_loaded(shell, server).await;
+        for missing in wanted.iter().filter(|w| found.as_ref().is_some_and(|f| !f.contains(w))) {
+            if let Some(effect) = lease.tick(shell.now()) {
+                carry_out(shell, platform, lease, effect).await;
+            }
+            let now = shell.now();
+            let number = match server.fencing {
+                Fencing::Refuses => lease.acting(now),
+                Fencing::Ignores => lease.acting_alone(now),
+            };
+            let Some(fencing) = number else { break };
+            if !weights_ready(platform, missing).await {
+                break;
+            }
+            order(shell, server, fencing, missing).await;
+        }
+        view.push(EngineFleet {
+            server: server.name.clone(),
+            wanted: wanted.iter().map(Loaded::to_string).collect(),
+            found: found.map(|f| f.iter().map(Loaded::to_string).collect()),
+        });
+    }
+    shell.fleet.set(lease.acting(shell.now()), view);
+}
+
+/// Whether the weight store lets another version be loaded now.
+async fn weights_ready(platform: &Platform, wanted: &Loaded) -> bool {
+    let Some(weights) = &platform.weights else { return true };
+    let model = wanted.id.replace(':', "/");
+    match weights.manifest(&model, &wanted.version).await {
+        Ok(_) => true,
+        Err(error) => {
+            if error.cause == Cause::Throttled {
+                tokio::time::sleep(WEIGHTS_PAUSE).await;
+            }
+            spdlog::warn!("weights_not_ready", kv: { error: });
+            false
+        }
+    }
+}
+
+async fn exchange(shell: &Shell, request: ServerRequest) -> Option<(StatusCode, bytes::Bytes)> {
+    let connect = millis(shell.in_force().document.routing.connect_ms);
+    let answer = client(connect).request(request);
+    let answer = tokio::time::timeout(millis(LEASE_TIMES.order_ms), answer).await.ok()?.ok()?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.ok()?;
+    Some((status, body.to_bytes()))
+}
+
+async fn read_loaded(shell: &Shell, server: &Server) -> Option<Vec<Loaded>> {
+    let (status, body) = exchange(shell, (OPENAI.loaded)(&server.address)).await?;
+    if status != StatusCode::OK {
+        return None;
+    }
+    (OPENAI.decode_loaded)(&body).ok()
+}
+
+async fn order(shell: &Shell, server: &Server, fencing: u64, missing: &Loaded) {
+    let order = FleetOrder { fencing, action: "load", subject: missing };
+    let answer = exchange(shell, (OPENAI.order)(&server.address, &order)).await;
+    let status = answer.map_or(0, |(status, _)| status.as_u16());
+    spdlog::info!("order_given", kv: {
+        server: = server.name.as_str(),
+        subject: = missing.to_string(),
+        fencing,
+        status,
+    });
+}
--- a/agaterouted/src/main.rs
+++ b/agaterouted/src/main.rs
@@ -10,6 +10,7 @@
 mod collect;
 mod engine;
 mod error;
+mod fleet;
 mod follow;
 mod front;
 mod generation;
--- a/agaterouted/src/ops.rs
+++ b/agaterouted/src/ops.rs
@@ -66,6 +66,7 @@
         let desks: Vec<Value> = state.desks.iter().map(|(id, d)| desk(name(*id), d)).collect();
         (peers(state), desks, state.entry.pending.len(), state.entry.running.len())
     });
+    let (fencing, fleet) = shell.fleet.get();
     json!({
         "instance": shell.me.name,
         "start": shell.me.start,
@@ -79,6 +80,8 @@
         "held_rows": shell.book.held_rows(),
         "peers": peers,
         "servers": desks,
+        "fencing": fencing,
+        "fleet": fleet,
     })
 }
 
--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -13,6 +13,7 @@
 use agateroute_proto::peers::peers_client::PeersClient;
 use agateroute_proto::peers::peers_server::{Peers, PeersServer};
 use agateroute_proto::peers::{Batch, FetchReply, FetchRequest, Hello, Message};
+use prost::Message as _;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -35,6 +36,8 @@
 const YIELD_PAUSE: Duration = Duration::from_millis(1_000);
 /// The most messages in one batch.
 const BATCH_MOST: usize = 1_024;
+/// The bytes that gRPC and HTTP/2 put around a batch.
+const FRAME_BYTES: usize = 14;
 /// The batches that a stream buffers.
 const BUFFERED: usize = 16;
 
@@ -221,7 +224,11 @@
             return;
         }
         let version = shell.in_force().version;
-        if outgoing.send(Batch { hello: None, version, messages: batch }).await.is_err() {
+        let batch = Batch { hello: None, version, messages: batch };
+        let bytes = batch.encoded_len() + FRAME_BYTES;
+        shell.telemetry.control_bytes.add(bytes as u64, &[]);
+        shell.telemetry.control_messages.add(batch.messages.len() as u64, &[]);
+        if outgoing.send(batch).await.is_err() {
             return;
         }
     }
--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -15,7 +15,7 @@
 use crate::jobs::Job;
 use crate::shell::{Shell, millis};
 use crate::telemetry::Telemetry;
-use crate::{follow, front, jobs, log, ops, peers, stream, tallies, watch};
+use crate::{fleet, follow, front, jobs, log, ops, peers, stream, tallies, watch};
 
 /// The most header fields that the HTTP library parses.
 const HEADERS_MOST: usize = 128;
@@ -128,6 +128,7 @@
     runtime.spawn(watch::reports(shell.clone(), cancel.child_token()));
     runtime.spawn(jobs::run(shell.clone(), queued, cancel.child_token()));
     runtime.spawn(jobs::read_suspects(shell.clone(), cancel.child_token()));
+    runtime.spawn(fleet::run(shell.clone(), cancel.child_token()));
     runtime.spawn(tallies::run(shell.clone(), cancel.child_token()));
     runtime.spawn(follow::configuration(shell.clone(), cancel.child_token()));
     runtime.spawn(follow::instances(shell.clone(), cancel.child_token()));
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::auth::KeyRing;
+use crate::fleet::FleetView;
 use crate::jobs::Job;
 use crate::platform::Platform;
 use crate::tallies::Book;
@@ -88,6 +89,8 @@
     pub me: Peer,
     /// The platform's services, where there are some.
     pub platform: Option<Platform>,
+    /// What is wanted and found on engines, where this instance holds the lease.
+    pub fleet: FleetView,
     /// The tallies.
     pub book: Arc<Book>,
     /// The requests in progress.
@@ -121,6 +124,7 @@
             settings,
             telemetry,
             platform,
+            fleet: FleetView::default(),
             book: book.clone(),
             active: AtomicI64::new(0),
             version_seen: Notify::new(),
--- a/agaterouted/src/telemetry.rs
+++ b/agaterouted/src/telemetry.rs
@@ -49,6 +49,10 @@
     pub resumes: Counter<u64>,
     /// Chunks dropped since they were repeated or belonged to another generation.
     pub dropped: Counter<u64>,
+    /// Bytes of messages sent to other instances.
+    pub control_bytes: Counter<u64>,
+    /// Messages sent to other instances.
+    pub control_messages: Counter<u64>,
     /// Requests in progress.
     pub active: UpDownCounter<i64>,
     registry: Registry,
@@ -78,6 +82,12 @@
             stalls: counter(&meter, "agateroute.stalls", "Pauses above the target"),
             resumes: counter(&meter, "agateroute.resumes", "Cut links that were resumed"),
             dropped: counter(&meter, "agateroute.dropped", "Repeated or crossed chunks dropped"),
+            control_bytes: counter(&meter, "agateroute.control_bytes", "Bytes sent to peers"),
+            control_messages: counter(
+                &meter,
+                "agateroute.control_messages",
+                "Messages sent to peers",
+            ),
             active: meter
                 .i64_up_down_counter("agateroute.active")
                 .with_description("Requests in progress")
--- a/agatestand/src/args.rs
+++ b/agatestand/src/args.rs
@@ -133,6 +133,41 @@
         #[bpaf(positional("CASE"))]
         case: String,
     },
+    /// Measure what running instances use, as one row of a table
+    #[bpaf(command)]
+    Slopes {
+        /// What the row is called
+        #[bpaf(long, argument("TEXT"))]
+        label: String,
+        /// The processes of the instances
+        #[bpaf(long("pid"), argument("PID"), many)]
+        pids: Vec<u32>,
+        /// The ops addresses of the instances
+        #[bpaf(long, argument("IP:PORT"), many)]
+        ops: Vec<String>,
+        /// The platform's address
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: Option<String>,
+        /// How long to measure, in seconds
+        #[bpaf(long, argument("S"), fallback(5.0), display_fallback)]
+        seconds: f64,
+        /// Print the head of the table first
+        #[bpaf(long)]
+        head: bool,
+    },
+    /// Print a document of a size, for measurements
+    #[bpaf(command)]
+    Document {
+        /// The members
+        #[bpaf(long, argument("N"), fallback(10), display_fallback)]
+        members: u32,
+        /// The engines
+        #[bpaf(long, argument("N"), fallback(12), display_fallback)]
+        engines: u32,
+        /// The models
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        models: u32,
+    },
     /// Stream one reading to the terminal, make an order and a lookup
     #[bpaf(command)]
     Tour {
--- a/agatestand/src/bench.rs
+++ b/agatestand/src/bench.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use agatestand::load::{LoadClient, client};
+use agatestand::process::{self, Usage};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use hdrhistogram::Histogram;
@@ -15,12 +16,8 @@
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 
-/// The clock ticks in a second that the kernel counts processor time in.
-const TICKS_PER_SECOND: f64 = 100.0;
 /// The longest time that is told apart, in microseconds.
 const LONGEST_US: u64 = 600_000_000;
-/// The bytes in a page of memory.
-const PAGE_BYTES: u64 = 4096;
 
 /// What to measure.
 #[derive(Clone, Debug)]
@@ -61,13 +58,6 @@
     }
 }
 
-/// Processor time and memory of a process.
-#[derive(Clone, Copy, Debug, Default)]
-struct Usage {
-    seconds: f64,
-    bytes: u64,
-}
-
 /// Runs the benchmark and prints its figures.
 pub async fn run(plan: &BenchPlan) {
     let _warm = one_way(plan, &plan.target, plan.streams * 2).await;
@@ -75,9 +65,7 @@
     let idle = usage(plan.pid);
     let straight = one_way(plan, &plan.engine, plan.requests).await;
     let before = usage(plan.pid);
-    let watch = tokio::spawn(peak(plan.pid));
     let through = one_way(plan, &plan.target, plan.requests).await;
-    watch.abort();
     let after = usage(plan.pid);
     let again = one_way(plan, &plan.engine, plan.requests).await;
     print(plan, &straight, &through, &again);
@@ -91,26 +79,8 @@
     }
 }
 
-async fn peak(pid: Option<u32>) {
-    loop {
-        let _ = usage(pid);
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-}
-
 fn usage(pid: Option<u32>) -> Usage {
-    let read = |file: &str| {
-        let pid = pid?;
-        std::fs::read_to_string(format!("/proc/{pid}/{file}")).ok()
-    };
-    let number = |text: &str, at: usize| -> u64 {
-        text.split_whitespace().nth(at).and_then(|n| n.parse().ok()).unwrap_or(0)
-    };
-    let stat = read("stat").unwrap_or_default();
-    let rest = stat.rsplit(')').next().unwrap_or_default();
-    let ticks = number(rest, 11) + number(rest, 12);
-    let pages = number(&read("statm").unwrap_or_default(), 1);
-    Usage { seconds: ticks as f64 / TICKS_PER_SECOND, bytes: pages * PAGE_BYTES }
+    pid.map(process::usage).unwrap_or_default()
 }
 
 async fn one_way(plan: &BenchPlan, address: &str, requests: usize) -> Way {
--- a/agatestand/src/engine.rs
+++ b/agatestand/src/engine.rs
@@ -57,6 +57,10 @@
     pub restart: Duration,
     /// Whether orders with an old fencing number are refused.
     pub fenced: bool,
+    /// What is loaded at the start, as name and version.
+    pub loaded: Vec<(String, String)>,
+    /// The time that loading takes.
+    pub load_time: Duration,
 }
 
 impl Default for EngineOptions {
@@ -74,6 +78,8 @@
             poison: None,
             restart: Duration::from_millis(500),
             fenced: false,
+            loaded: Vec::new(),
+            load_time: Duration::from_millis(50),
         }
     }
 }
@@ -149,6 +155,7 @@
     crashed: bool,
     fencing: u64,
     orders: Vec<FleetOrder>,
+    loaded: Vec<(String, String, Instant)>,
     started: u64,
 }
 
@@ -234,6 +241,11 @@
         self.lock().started
     }
 
+    /// The orders that were taken, since the last crash.
+    pub fn orders(&self) -> Vec<FleetOrder> {
+        self.lock().orders.clone()
+    }
+
     /// The load as it is now.
     pub fn load(&self) -> LoadReport {
         self.lock().report()
@@ -258,6 +270,7 @@
                 Err(e) => reply::json(StatusCode::BAD_REQUEST, &json!({"error": e.to_string()})),
             },
             (&Method::POST, "/orders") => self.order(&reply::read(body).await),
+            (&Method::GET, "/v1/models") => reply::json(StatusCode::OK, &self.lock().models()),
             (&Method::GET, "/orders") => reply::json(StatusCode::OK, &self.lock().orders),
             _ => match path.strip_prefix("/v1/generations/") {
                 Some(id) if head.method == Method::GET => self.resume(id, head.uri.query()),
@@ -279,6 +292,11 @@
             return reply::json(StatusCode::CONFLICT, &json!({"fencing": state.fencing}));
         }
         state.fencing = state.fencing.max(order.fencing);
+        if order.action == "load" {
+            let ready = Instant::now() + self.options.load_time;
+            state.loaded.retain(|(name, _, _)| *name != order.subject);
+            state.loaded.push((order.subject.clone(), order.version.clone(), ready));
+        }
         state.orders.push(order);
         reply::empty(StatusCode::NO_CONTENT)
     }
@@ -354,6 +372,11 @@
             crashed: false,
             fencing: 0,
             orders: Vec::new(),
+            loaded: options
+                .loaded
+                .iter()
+                .map(|(n, v)| (n.clone(), v.clone(), Instant::now()))
+                .collect(),
             started: 0,
         }
     }
@@ -413,6 +436,14 @@
         }
     }
 
+    fn models(&self) -> Value {
+        let now = Instant::now();
+        let ready = self.loaded.iter().filter(|(_, _, at)| *at <= now);
+        let data: Vec<Value> =
+            ready.map(|(id, version, _)| json!({"id": id, "version": version})).collect();
+        json!({"object": "list", "data": data})
+    }
+
     fn report(&self) -> LoadReport {
         LoadReport {
             used: self.batch.used(),
--- a/agatestand/src/main.rs
+++ b/agatestand/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod compare;
 mod fleet;
+mod slopes;
 mod tour;
 
 use std::path::Path;
@@ -78,6 +79,18 @@
             compare::run(&plan).await;
             Ok(())
         }
+        Command::Slopes { label, pids, ops, platform, seconds, head } => {
+            if head {
+                slopes::print_head();
+            }
+            let time = Duration::from_secs_f64(seconds);
+            slopes::run(&slopes::Plan { label, pids, ops, platform, time }).await;
+            Ok(())
+        }
+        Command::Document { members, engines, models } => {
+            println!("{:#}", agatestand::synthetic::document(members, engines, models));
+            Ok(())
+        }
         Command::Tour { target, key } => tour::run(&target, &key).await,
     }
 }
--- /dev/null
+++ b/agatestand/src/slopes.rs
@@ -0,0 +1,98 @@
+//! Measures what instances use while they run: processor time, memory, control traffic, and what they
+//! ask of the platform.
+
+use std::time::Duration;
+
+use agateroute_platform::Client;
+use agateroute_platform::http::request;
+use agatestand::platform::Counts;
+use agatestand::process::usage;
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// What the row is called.
+    pub label: String,
+    /// The processes of the instances.
+    pub pids: Vec<u32>,
+    /// The ops addresses of the instances.
+    pub ops: Vec<String>,
+    /// The platform's address.
+    pub platform: Option<String>,
+    /// How long to measure.
+    pub time: Duration,
+}
+
+/// Sums over all instances at a moment.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    seconds: f64,
+    bytes: u64,
+    largest: u64,
+    sent: f64,
+    messages: f64,
+    counts: Counts,
+}
+
+/// Measures and prints one row.
+pub async fn run(plan: &Plan) {
+    let before = look(plan).await;
+    tokio::time::sleep(plan.time).await;
+    let after = look(plan).await;
+    let each = 1.0 / plan.pids.len().max(1) as f64;
+    let time = plan.time.as_secs_f64();
+    let rate = |a: f64, b: f64| (a - b) / time;
+    let (reads, writes) = (after.counts.reads, after.counts.writes);
+    println!(
+        "| {} | {} | {:.2} | {:.1} | {:.1} | {:.2} | {:.1} | {:.1} | {:.1} |",
+        plan.label,
+        plan.pids.len(),
+        100.0 * each * rate(after.seconds, before.seconds),
+        each * after.bytes as f64 / 1e6,
+        after.largest as f64 / 1e6,
+        each * rate(after.sent, before.sent) / 1e3,
+        each * rate(after.messages, before.messages),
+        rate(reads as f64, before.counts.reads as f64),
+        rate(writes as f64, before.counts.writes as f64),
+    );
+}
+
+/// Prints the head of the table.
+pub fn print_head() {
+    println!(
+        "| point | instances | core % each | MB each | MB largest | control KB/s sent each | \
+         messages/s sent each | platform reads/s all | platform writes/s all |"
+    );
+    println!("|{}", " --- |".repeat(9));
+}
+
+async fn look(plan: &Plan) -> Sums {
+    let mut sums = Sums::default();
+    let client = Client::new(Duration::from_secs(5));
+    for pid in &plan.pids {
+        let used = usage(*pid);
+        sums.seconds += used.seconds;
+        sums.bytes += used.bytes;
+        sums.largest = sums.largest.max(used.bytes);
+    }
+    for ops in &plan.ops {
+        let answer = client.call("metrics", ops, request("GET", ops, "/metrics", "")).await;
+        let Ok((_, body)) = answer else { continue };
+        let text = String::from_utf8_lossy(&body);
+        sums.sent += metric(&text, "agateroute_control_bytes_total");
+        sums.messages += metric(&text, "agateroute_control_messages_total");
+    }
+    if let Some(platform) = &plan.platform {
+        let answer = client.call("counts", platform, request("GET", platform, "/counts", "")).await;
+        if let Ok((_, body)) = answer {
+            sums.counts = serde_json::from_slice(&body).unwrap_or_default();
+        }
+    }
+    sums
+}
+
+/// The sum of a metric over its labels.
+fn metric(page: &str, name: &str) -> f64 {
+    let lines = page.lines().filter(|l| l.starts_with(name));
+    lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
--- /dev/null
+++ b/agatestand/src/synthetic.rs
@@ -0,0 +1,39 @@
+//! Documents of any size, for measurements.
+
+use agateroute_config::digest::hex_digest;
+use serde_json::{Value, json};
+
+/// The first port of servers that do not exist.
+const NO_SERVER_PORT: u32 = 30_000;
+/// The ports that servers that do not exist are spread over.
+const NO_SERVER_PORTS: u32 = 500;
+
+/// A document with some members, engines and models. The engines need not exist.
+pub fn document(members: u32, engines: u32, models: u32) -> Value {
+    let model = |i| {
+        json!({"name": format!("model-{i}"), "version": "1", "context_tokens": 32768,
+            "kinds": [{"name": "draft", "rank": "deferrable"}, {"name": "quote", "rank": "urgent"}]})
+    };
+    let engine = |i: u32| {
+        let port = NO_SERVER_PORT + i % NO_SERVER_PORTS;
+        json!({"name": format!("engine-{i}"), "address": format!("127.0.0.1:{port}"), "zone": "a",
+            "engine": {"models": [format!("model-{}", i % models)], "memory_tokens": 100_000}})
+    };
+    let names: Vec<String> = (0..models).map(|i| format!("model-{i}")).collect();
+    let member = |i| {
+        let name = format!("member-{i}");
+        json!({"name": name, "models": names, "share": 1 + i % 7,
+            "keys": [{"sha256": hex_digest(format!("{name}-key").as_bytes())}]})
+    };
+    json!({
+        "deployment": "synthetic",
+        "ranks": [
+            {"name": "urgent", "first_token_ms": 1200, "between_tokens_ms": 47, "answer_ms": 500},
+            {"name": "deferrable", "first_token_ms": 15000, "between_tokens_ms": 47,
+                "answer_ms": 15000, "floor_percent": 20},
+        ],
+        "models": (0..models).map(model).collect::<Vec<Value>>(),
+        "servers": (0..engines).map(engine).collect::<Vec<Value>>(),
+        "members": (0..members).map(member).collect::<Vec<Value>>(),
+    })
+}
