Hold a member to its limit, fuzz every parser, wake links on a new version

Cause: limits.member_requests was declared and not kept; the adapters sat in a program, out of reach of tests; a version was told with the next heartbeat only. Change: a request over the limit gets 429 as not run; the daemon is a library with a thin program; a new version sends a batch on every stream at once. Seen: 20,000 inputs on all parsers without a crash.

--- a/agaterouted/src/account.rs
+++ b/agaterouted/src/account.rs
@@ -3,15 +3,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use agateroute_core::id;
 use agateroute_core::tally::{Tally, TallyKey};
+use http::StatusCode;
 use opentelemetry::{Context, KeyValue};
 
+use crate::error::ApiError;
 use crate::shell::{ActiveGuard, Shell};
 use crate::tallies::{day_of, unix_seconds};
 use crate::telemetry::end_span;
 
 /// The share of gaps between tokens that may be longer than the target, as one in this many.
 const SLOW_GAPS_ONE_IN: u64 = 20;
+/// When a member with too many requests in progress should ask again, in milliseconds.
+const RETRY_MS: u32 = 1_000;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,19 +90,23 @@
     tally: Tally,
     server: Option<Arc<str>>,
     closed: bool,
-    _active: ActiveGuard,
+    _active: Option<ActiveGuard>,
 }
 
 impl Account {
-    /// Opens the account of a request that arrived now.
+    /// Opens the account of a request that arrived now, unless its member has too many in progress
+    /// here.
     pub fn open(
         shell: &Arc<Shell>,
         subject: Subject,
         targets: Targets,
         context: Context,
-    ) -> Account {
+    ) -> Result<Account, ApiError> {
+        let most = shell.in_force().document.limits.member_requests;
+        let active = ActiveGuard::new(shell, id(&subject.member), most);
+        let over = active.is_none();
         let now = Instant::now();
-        Account {
+        let mut account = Account {
             subject,
             context,
             shell: shell.clone(),
@@ -110,8 +119,17 @@
             tally: Tally::default(),
             server: None,
             closed: false,
-            _active: ActiveGuard::new(shell),
+            _active: active,
+        };
+        if over {
+            account.close(Ended::NotRun);
+            let message = format!("this member has {most} requests in progress here");
+            let status = StatusCode::TOO_MANY_REQUESTS;
+            let mut error = ApiError::not_run(status, "too_many_requests", message);
+            error.retry_ms = RETRY_MS;
+            return Err(error);
         }
+        Ok(account)
     }
 
     /// Notes the backend server that the request runs on.
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -84,7 +84,7 @@
         kind: call.kind.as_str().into(),
         rank: rank.name.as_str().into(),
     };
-    let mut account = Account::open(shell, subject, targets(rank), caller.context.clone());
+    let mut account = Account::open(shell, subject, targets(rank), caller.context.clone())?;
     let ticket = ticket(shell, &caller, service, call, &sent);
     if !call.repeatable {
         let key = check_key(&sent, document.limits.key_bytes as usize);
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -73,7 +73,7 @@
         rank: rank.name.as_str().into(),
     };
     let ticket = ticket(shell, &caller, &declared, &asked, &body);
-    let account = Account::open(shell, subject, targets(rank), caller.context.clone());
+    let account = Account::open(shell, subject, targets(rank), caller.context.clone())?;
     run(shell, &in_force, account, ticket, asked).await
 }
 
--- /dev/null
+++ b/agaterouted/src/lib.rs
@@ -0,0 +1,33 @@
+//! The daemon of agateroute as a library, so that its adapters can be tested from outside.
+//!
+//! [`run::run`] starts an instance. Handlers of requests are in [`front`], [`generation`], [`call`] and
+//! [`claims`]; [`shell`] joins them to the reducer; `docs/DESIGN.md` gives the reasons.
+
+pub mod account;
+pub mod args;
+pub mod auth;
+pub mod body;
+pub mod call;
+pub mod claims;
+pub mod client;
+pub mod collect;
+pub mod engine;
+pub mod error;
+pub mod fleet;
+pub mod follow;
+pub mod front;
+pub mod generation;
+pub mod jobs;
+pub mod log;
+pub mod ops;
+pub mod peers;
+pub mod plain;
+pub mod platform;
+pub mod record;
+pub mod report;
+pub mod run;
+pub mod shell;
+pub mod stream;
+pub mod tallies;
+pub mod telemetry;
+pub mod watch;
--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -4,7 +4,6 @@
 //! other one only when no stream comes. Where both have dialed, the stream stays that was dialed by
 //! the instance whose name sorts first.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,8 +15,8 @@
 use prost::Message as _;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::TcpListenerStream;
-use tokio_stream::{Stream, StreamExt};
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tokio_util::sync::CancellationToken;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status, Streaming};
@@ -41,7 +40,8 @@
 /// The batches that a stream buffers.
 const BUFFERED: usize = 16;
 
-type BatchStream = Pin<Box<dyn Stream<Item = Result<Batch, Status>> + Send>>;
+type BatchStream =
+    futures_util::stream::Map<ReceiverStream<Batch>, fn(Batch) -> Result<Batch, Status>>;
 
 /// The server side of the streams.
 #[derive(Clone, Debug)]
@@ -71,8 +71,8 @@
             return Err(Status::already_exists("there is a stream to this instance"));
         }
         let outgoing = open_link(&self.shell, &hello, incoming, &self.cancel);
-        let stream = tokio_stream::wrappers::ReceiverStream::new(outgoing).map(Ok);
-        Ok(Response::new(Box::pin(stream)))
+        let batches = ReceiverStream::new(outgoing);
+        Ok(Response::new(futures_util::StreamExt::map(batches, Ok)))
     }
 
     async fn fetch(&self, request: Request<FetchRequest>) -> Result<Response<FetchReply>, Status> {
@@ -128,7 +128,7 @@
     let channel = connect(address).await?;
     let (sender, outgoing) = mpsc::channel(BUFFERED);
     let _ = sender.send(hello_batch(shell)).await;
-    let request = tokio_stream::wrappers::ReceiverStream::new(outgoing);
+    let request = ReceiverStream::new(outgoing);
     let mut client = PeersClient::new(channel);
     let answer = tokio::time::timeout(DIAL_TIME, client.link(request)).await;
     let mut incoming = answer.ok()?.ok()?.into_inner();
--- a/agaterouted/src/report.rs
+++ b/agaterouted/src/report.rs
@@ -230,6 +230,7 @@
             body {
                 h1 { (deployment) " on " (data.day) }
                 p class=(if well { "verdict" } else { "verdict bad" }) { (sentence) }
+                p { (worth_sentence(in_force, data)) }
                 (unknown_section(data))
                 (member_table(in_force, data))
                 (outcome_table(data))
@@ -244,6 +245,18 @@
     }
 }
 
+/// What was delivered whole and on time, weighed by the worth of its rank.
+fn worth_sentence(in_force: &InForce, data: &DayData) -> String {
+    let (mut asked, mut got) = (0.0, 0.0);
+    for ((_, _, rank), tally) in data.tallies.iter() {
+        let declared = in_force.document.ranks.iter().find(|r| r.name == *rank);
+        let worth = declared.map_or(1.0, |r| r.worth);
+        asked += worth * answered(tally) as f64;
+        got += worth * tally.ended[0] as f64;
+    }
+    format!("Worth delivered whole and on time: {got:.0} of {asked:.0}.")
+}
+
 fn unknown_section(data: &DayData) -> Markup {
     let gaps = data.gaps();
     html! {
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -74,6 +74,7 @@
     waiters: Table<RequestId, mpsc::UnboundedSender<Admission>>,
     claims: Table<RequestId, oneshot::Sender<(ClaimOutcome, String)>>,
     links: Table<Id, Link>,
+    members: Table<Id, u32>,
     jobs: mpsc::UnboundedSender<Job>,
     book: Arc<Book>,
 }
@@ -134,6 +135,7 @@
                 waiters: Table::default(),
                 claims: Table::default(),
                 links: Table::default(),
+                members: Table::default(),
                 jobs,
                 book,
             }),
@@ -188,6 +190,7 @@
             self.apply(Event::Configured { document });
         }
         self.ready.store(true, Ordering::Release);
+        self.wake_links();
         spdlog::info!("configured", kv: { version });
         true
     }
@@ -265,6 +268,13 @@
         self.in_force().version > 0
     }
 
+    /// Sends a batch on every stream at once, since it tells the version in force.
+    fn wake_links(&self) {
+        for link in self.lock().links.values() {
+            let _ = link.sender.send(Message { body: None });
+        }
+    }
+
     /// Sends a message to all linked peers.
     pub fn tell_peers(&self, body: &Body) {
         let inner = self.lock();
@@ -425,23 +435,39 @@
     }
 }
 
-/// Counts a request as in progress until it is dropped.
+/// Counts a request as in progress, for the instance and for its member, until it is dropped.
 #[derive(Debug)]
 pub struct ActiveGuard {
     shell: Arc<Shell>,
+    member: Id,
 }
 
 impl ActiveGuard {
-    /// Counts a request.
-    pub fn new(shell: &Arc<Shell>) -> ActiveGuard {
+    /// Counts a request of a member, unless the member already has `most` here.
+    pub fn new(shell: &Arc<Shell>, member: Id, most: u32) -> Option<ActiveGuard> {
+        let mut inner = shell.lock();
+        let count = inner.members.entry(member, || 0);
+        if *count >= most {
+            return None;
+        }
+        *count += 1;
+        drop(inner);
         shell.active.fetch_add(1, Ordering::AcqRel);
         shell.telemetry.active.add(1, &[]);
-        ActiveGuard { shell: shell.clone() }
+        Some(ActiveGuard { shell: shell.clone(), member })
     }
 }
 
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
+        let mut inner = self.shell.lock();
+        if let Some(count) = inner.members.get_mut(&self.member) {
+            *count -= 1;
+            if *count == 0 {
+                inner.members.remove(&self.member);
+            }
+        }
+        drop(inner);
         self.shell.active.fetch_sub(1, Ordering::AcqRel);
         self.shell.telemetry.active.add(-1, &[]);
     }
--- a/agaterouted/tests/front.rs
+++ b/agaterouted/tests/front.rs
@@ -208,8 +208,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn limits_kept() {
     let mut bed = Bed::new(&[steady(5.0, 1)], &[ServiceOptions::default()]).await;
-    bed.document["limits"] =
-        json!({"body_bytes": 2_000, "header_count": 20, "header_bytes": 2_000, "body_ms": 200});
+    bed.document["limits"] = json!({"body_bytes": 2_000, "header_count": 20, "header_bytes": 2_000, "body_ms": 200,
+            "member_requests": 2});
     bed.start(false).await;
     let caller = Caller::new(&bed.daemons[0].listen, "yew");
     let long = "x".repeat(2_001);
@@ -220,6 +220,22 @@
     let names: Vec<String> = (0..21).map(|i| format!("x-{i}")).collect();
     let many: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "1")).collect();
     assert_eq!(caller.call("GET", "/v1/models", &many, "").await.status, 431);
+    // One member can not hold all places of an instance.
+    bed.engines[0].control(&agatestand::engine::Control::Stall { ms: 60_000 });
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        let caller = caller.clone();
+        held.push(tokio::spawn(async move { caller.generate("x", 5).await }));
+    }
+    bed::eventually("two are in progress", async || {
+        bed::get_json(&bed.daemons[0].ops, "/status").await["active"] == 2
+    })
+    .await;
+    let answer = caller.call("POST", "/v1/chat/completions", &[], chat(json!({}))).await;
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (429, "not_run"));
+    let other = Caller::new(&bed.daemons[0].listen, "box");
+    assert_eq!(other.call("GET", "/v1/services/orders/stock", &[], "").await.status, 200);
+    held.iter().for_each(tokio::task::JoinHandle::abort);
     // A sender that never finishes its body is told so.
     let mut slow = TcpStream::connect(&bed.daemons[0].listen).await.expect("a connection");
     let head = format!(
--- /dev/null
+++ b/agaterouted/tests/parsers.rs
@@ -0,0 +1,150 @@
+//! Every parser of what comes from outside takes any input without a crash.
+
+use std::time::Duration;
+
+use agateroute_config::Document;
+use agateroute_config::digest::hex_digest;
+use agateroute_platform::instances::HTTP_SD;
+use agateroute_platform::manifest::{Manifest, join, split};
+use agateroute_platform::table::{Condition, DYNAMO, Outcome, Row, Write};
+use agateroute_platform::weights::S3_MANIFEST;
+use agaterouted::auth::{KeyRing, bearer};
+use agaterouted::collect::Collected;
+use agaterouted::engine::OPENAI;
+use agaterouted::plain::HTTP;
+use agaterouted::record::{Answer, CallRecord};
+use agaterouted::tallies::TallyRecord;
+use bolero::check;
+use http::{HeaderMap, StatusCode};
+
+/// Long enough that the iterations decide when a test ends, on any machine.
+const TEST_TIME: Duration = Duration::from_secs(600);
+const HUON: &str = include_str!("../../examples/huon.yaml");
+
+/// Pieces that make inputs look like what the parsers expect.
+const PIECES: [&str; 16] = [
+    "{\"generation_id\":\"g\",\"token_index\":1,\"choices\":[{\"delta\":{\"content\":\"x\"},\"finish_reason\":null}]}",
+    "{\"choices\":[{\"delta\":{\"tool_calls\":[{\"index\":0,\"function\":{\"arguments\":\"{\"}}]}}]}",
+    "{\"choices\":[],\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":2}}",
+    "{\"used\":1,\"running\":1,\"waiting\":0,\"preemptions\":0,\"age_ms\":5}",
+    "{\"data\":[{\"id\":\"a\",\"version\":\"1\"}]}",
+    "{\"Item\":{\"pk\":{\"S\":\"a\"},\"sk\":{\"S\":\"b\"},\"tag\":{\"S\":\"c\"},\"value\":{\"S\":\"d\"}}}",
+    "{\"__type\":\"x#TransactionCanceledException\",\"CancellationReasons\":[{\"Code\":\"ConditionalCheckFailed\"}]}",
+    "[{\"targets\":[\"127.0.0.1:1\"],\"labels\":{\"instance\":\"a\",\"role\":\"entry\",\"state\":\"live\"}}]",
+    "{\"bytes\":5}",
+    "Bearer ",
+    "null",
+    "\u{0}",
+    "18446744073709551616",
+    "-1",
+    "\"",
+    "}",
+];
+
+fn any_text(parts: &[(u8, u16, u8)]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for (piece, at, byte) in parts.iter().take(8) {
+        let mut part = PIECES[usize::from(*piece) % PIECES.len()].as_bytes().to_vec();
+        if byte % 3 == 0 {
+            let at = usize::from(*at) % part.len();
+            part[at] = *byte;
+        }
+        if byte % 5 == 0 {
+            part.truncate(usize::from(*at) % part.len());
+        }
+        bytes.extend(part);
+    }
+    bytes
+}
+
+#[test]
+fn outside_answers() {
+    check!()
+        .with_type::<Vec<(u8, u16, u8)>>()
+        .with_iterations(20_000)
+        .with_test_time(TEST_TIME)
+        .for_each(|parts| {
+            let bytes = any_text(parts);
+            let text = String::from_utf8_lossy(&bytes);
+            let _ = (OPENAI.decode)(&text);
+            let _ = (OPENAI.decode_report)(&bytes);
+            let _ = (OPENAI.decode_loaded)(&bytes);
+            let _ = (HTTP.decode_report)(&bytes);
+            let mut collected = Collected::default();
+            if collected.add(&text).is_ok() {
+                let _ = collected.finish(true, None);
+            }
+            for status in [StatusCode::OK, StatusCode::BAD_REQUEST, StatusCode::BAD_GATEWAY] {
+                let _ = (DYNAMO.read_get)(status, &bytes);
+                let _ = (DYNAMO.read_query)(status, &bytes);
+                let _ = (DYNAMO.read_transact)(status, &bytes);
+                let _ = (HTTP_SD.read_list)(status, &bytes);
+                let _ = (S3_MANIFEST.read_manifest)(status, &bytes);
+            }
+            let _ = serde_json::from_slice::<CallRecord>(&bytes);
+            let _ = serde_json::from_slice::<TallyRecord>(&bytes);
+            let _ = serde_json::from_slice::<Manifest>(&bytes);
+            let _ = bearer(&bytes);
+        });
+}
+
+#[test]
+fn keys_found() {
+    let document: Document = agateroute_config::parse_document("huon.yaml", HUON).expect("huon");
+    let ring = KeyRing::new(&document);
+    for (i, member) in document.members.iter().enumerate() {
+        let key = format!("{}-key", member.name);
+        assert_eq!(ring.find(key.as_bytes()), Some(i), "{key}");
+    }
+    check!().with_iterations(5_000).with_test_time(TEST_TIME).for_each(|key: &[u8]| {
+        let known = document
+            .members
+            .iter()
+            .position(|m| m.keys.iter().any(|k| k.sha256 == hex_digest(key)));
+        assert_eq!(ring.find(key), known);
+    });
+}
+
+#[test]
+fn answers_kept() {
+    check!()
+        .with_type::<(u8, Vec<u8>, u16)>()
+        .with_iterations(2_000)
+        .with_test_time(TEST_TIME)
+        .for_each(|(status, body, number)| {
+            let status = StatusCode::from_u16(200 + u16::from(*status)).expect("a status");
+            let mut headers = HeaderMap::new();
+            headers.insert("x-number", (*number).into());
+            let answer = Answer::new(status, &headers, body);
+            let (kept, kept_headers, kept_body) = answer.parts().expect("the parts");
+            assert_eq!((kept, &kept_headers, &kept_body[..]), (status, &headers, &body[..]));
+        });
+}
+
+#[test]
+fn sections_joined() {
+    let document = agateroute_config::parse_document("huon.yaml", HUON).expect("huon");
+    let (manifest, parts) = split(&document).expect("the parts");
+    let find = |digest: &str| {
+        let part = parts.iter().find(|p| p.digest == digest)?;
+        serde_json::from_str(&part.body).ok()
+    };
+    assert_eq!(join(&manifest, find).expect("the document"), document);
+    let missing = join(&manifest, |_| None).expect_err("no parts").to_string();
+    assert!(missing.contains("does not exist in the object store"), "{missing}");
+}
+
+#[test]
+fn rows_written() {
+    let row = Row {
+        partition: "p".into(),
+        sort: "s".into(),
+        tag: "t".into(),
+        value: "{}".into(),
+        expires: 5,
+    };
+    let write = Write { row: &row, condition: Condition::AbsentOrTag("t") };
+    let request = (DYNAMO.transact)("127.0.0.1:1", &[write]);
+    assert_eq!(request.headers()["x-amz-target"], "DynamoDB_20120810.TransactWriteItems");
+    assert_eq!((DYNAMO.read_transact)(StatusCode::OK, b"{}"), Ok(Outcome::Done));
+}
--- a/agatestand/src/args.rs
+++ b/agatestand/src/args.rs
@@ -155,6 +155,25 @@
         #[bpaf(long)]
         head: bool,
     },
+    /// Measure how long a change of the configuration takes to be in force everywhere
+    #[bpaf(command)]
+    Propagate {
+        /// The platform's address
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: String,
+        /// The ops addresses of the instances
+        #[bpaf(long, argument("IP:PORT"), some("an ops address is missing"))]
+        ops: Vec<String>,
+        /// The changes
+        #[bpaf(long, argument("N"), fallback(200), display_fallback)]
+        changes: u64,
+        /// Each so many changes, the platform goes down as soon as one instance has the change
+        #[bpaf(long, argument("N"))]
+        outage_each: Option<u64>,
+        /// The document
+        #[bpaf(positional("FILE"))]
+        document: PathBuf,
+    },
     /// Print a document of a size, for measurements
     #[bpaf(command)]
     Document {
--- a/agatestand/src/main.rs
+++ b/agatestand/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod compare;
 mod fleet;
+mod propagate;
 mod slopes;
 mod tour;
 
@@ -79,6 +80,14 @@
             compare::run(&plan).await;
             Ok(())
         }
+        Command::Propagate { platform, ops, changes, outage_each, document } => {
+            let text = read(&document)?;
+            let file = document.display().to_string();
+            let document = agateroute_config::parse_document(&file, &text);
+            let document = document.map_err(|e| e.to_string())?;
+            let plan = propagate::Plan { document, platform, ops, changes, outage_each };
+            propagate::run(&plan).await
+        }
         Command::Slopes { label, pids, ops, platform, seconds, head } => {
             if head {
                 slopes::print_head();
--- /dev/null
+++ b/agatestand/src/propagate.rs
@@ -0,0 +1,124 @@
+//! Measures how long a change of the configuration takes from accepted to in force everywhere.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use agateroute_config::Document;
+use agateroute_platform::Client;
+use agateroute_platform::config::{Applied, ConfigStore};
+use agateroute_platform::http::request;
+use agateroute_platform::objects::{Objects, S3};
+use agateroute_platform::table::{DYNAMO, Table};
+use agatestand::platform::Control;
+use hdrhistogram::Histogram;
+use serde_json::Value;
+
+/// The pause between two looks at the instances.
+const LOOK: Duration = Duration::from_millis(4);
+/// How long a change may take before it counts as lost.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// How long an outage lasts.
+const OUTAGE: Duration = Duration::from_secs(1);
+/// How long the platform may take for one answer.
+const PLATFORM_TIME: Duration = Duration::from_secs(3);
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The document to change.
+    pub document: Document,
+    /// The platform's address.
+    pub platform: String,
+    /// The ops addresses of the instances.
+    pub ops: Vec<String>,
+    /// The changes.
+    pub changes: u64,
+    /// After each of so many changes the platform is down as soon as one instance has the change.
+    pub outage_each: Option<u64>,
+}
+
+/// Applies changes one after the other and prints how long each took.
+pub async fn run(plan: &Plan) -> Result<(), String> {
+    let client = Client::new(PLATFORM_TIME);
+    let address = plan.platform.clone();
+    let table = Table { adapter: DYNAMO, address: address.clone(), client: client.clone() };
+    let store = ConfigStore { table, objects: Objects { adapter: S3, address, client } };
+    let head = store.head().await.map_err(|e| e.to_string())?;
+    let mut base = head.map_or(0, |h| h.version);
+    let mut all = Histogram::<u64>::new_with_max(60_000, 3).map_err(|e| e.to_string())?;
+    let mut during = all.clone();
+    let mut document = plan.document.clone();
+    for n in 1..=plan.changes {
+        let count = document.members.len().max(1) as u64;
+        if let Some(member) = document.members.get_mut((n % count) as usize) {
+            member.share = 1 + (member.share % 9);
+        }
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+        let apply = format!("propagate-{base}-{n}");
+        let applied = store.apply(&document, base, &apply, "propagate", at).await;
+        let Ok(Applied::Accepted(version)) = applied else { return Err(format!("{applied:?}")) };
+        base = version.version;
+        let accepted = Instant::now();
+        let outage = plan.outage_each.is_some_and(|each| n % each == 0);
+        let ms = wait(plan, base, accepted, outage).await?;
+        if outage {
+            during.saturating_record(ms);
+        } else {
+            all.saturating_record(ms);
+        }
+    }
+    print("platform up", &all);
+    if plan.outage_each.is_some() {
+        print("platform down once one instance has it", &during);
+    }
+    Ok(())
+}
+
+fn print(name: &str, times: &Histogram<u64>) {
+    println!(
+        "{name}: {} changes, accepted to in force on the last instance: p50 {} ms, p99 {} ms, \
+         max {} ms",
+        times.len(),
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        times.max(),
+    );
+}
+
+/// Waits until a version is in force everywhere. Returns how long that took, in milliseconds.
+async fn wait(plan: &Plan, version: u64, accepted: Instant, outage: bool) -> Result<u64, String> {
+    let client = Client::new(Duration::from_secs(1));
+    let mut down = false;
+    while accepted.elapsed() < PATIENCE {
+        let mut have = 0;
+        for ops in &plan.ops {
+            let answer = client.call("status", ops, request("GET", ops, "/status", "")).await;
+            let status = answer.ok().and_then(|(_, b)| serde_json::from_slice::<Value>(&b).ok());
+            let seen = status.and_then(|s| s["version"].as_u64()).unwrap_or(0);
+            if seen > version {
+                return Err(format!("{ops} has version {seen}, which was never accepted"));
+            }
+            have += usize::from(seen == version);
+        }
+        if have == plan.ops.len() {
+            let ms = accepted.elapsed().as_millis() as u64;
+            if down {
+                tokio::time::sleep(OUTAGE.saturating_sub(accepted.elapsed())).await;
+                control(plan, false).await;
+            }
+            return Ok(ms);
+        }
+        if outage && !down && have > 0 {
+            control(plan, true).await;
+            down = true;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    control(plan, false).await;
+    Err(format!("version {version} did not come into force everywhere"))
+}
+
+async fn control(plan: &Plan, on: bool) {
+    let body = serde_json::to_string(&Control::Outage { on }).unwrap_or_default();
+    let request = request("POST", &plan.platform, "/control", body);
+    let _ = Client::new(PLATFORM_TIME).call("control", &plan.platform, request).await;
+}
