--- a/agatectl/src/calls.rs
+++ b/agatectl/src/calls.rs
@@ -1,14 +1,16 @@
 //! Commands on calls that may not be repeated.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use agateroute_platform::calls::{Answer, CallRecord, CallState, partitions, settled_tag};
 use agateroute_platform::table::{Condition, Outcome, Row, Table, Write};
-use serde_json::{Value, json};
+use http::{HeaderMap, StatusCode};
+use serde_json::Value;
 
 use crate::args::CallsCommand;
 use crate::config::table;
 use crate::error::CtlError;
 
-/// The partitions that calls are spread over.
-const PARTITIONS: u32 = 16;
 /// The rows that are read at once.
 const PAGE: usize = 200;
 
@@ -29,8 +31,7 @@
 }
 
 async fn list(table: &Table, all: bool) -> Result<(), CtlError> {
-    for number in 0..PARTITIONS {
-        let partition = format!("calls-{number:x}");
+    for partition in partitions() {
         let mut after = " ".to_owned();
         loop {
             let rows = table.query(&partition, &after, PAGE).await?;
@@ -45,21 +46,24 @@
 }
 
 fn print_row(row: &Row, all: bool) {
-    let record: Value = serde_json::from_str(&row.value).unwrap_or_default();
-    let state = record["state"].as_str().unwrap_or("unreadable");
-    if !all && matches!(state, "answered" | "not_run") {
+    let name = format!("{}/{}", row.partition, row.sort);
+    let Ok(record) = serde_json::from_str::<CallRecord>(&row.value) else {
+        println!("row={name} state=unreadable");
+        return;
+    };
+    let settled = matches!(record.state, CallState::Answered | CallState::NotRun);
+    if settled && !all {
         return;
     }
     println!(
-        "row={}/{} state={state} member={} service={} kind={} key={} instance={} at={}",
-        row.partition,
-        row.sort,
-        record["member"],
-        record["service"],
-        record["kind"],
-        record["key"],
-        record["instance"],
-        record["at"],
+        "row={name} state={} member={:?} service={:?} kind={:?} key={:?} instance={:?} at={}",
+        record.state,
+        record.member,
+        record.service,
+        record.kind,
+        record.key,
+        record.instance,
+        record.at,
     );
 }
 
@@ -83,36 +87,38 @@
         return Err(CtlError::other("say either --not-run or --answer TEXT"));
     }
     let found = find(table, row).await?;
-    let mut record: Value = serde_json::from_str(&found.value)
+    let mut record: CallRecord = serde_json::from_str(&found.value)
         .map_err(|e| CtlError::other(format!("record of row {row:?} not readable: {e}")))?;
-    let state = record["state"].as_str().unwrap_or_default().to_owned();
-    let now = crate::unix_millis();
-    let over = record["until"].as_u64().is_some_and(|until| until < now);
-    match state.as_str() {
-        "unknown" => {}
-        "open" if over => {}
-        "open" => return Err(CtlError::other(format!("row {row:?} may still be in progress"))),
-        _ => return Err(CtlError::other(format!("row {row:?} is settled as {state}"))),
-    }
-    record["state"] = json!(if not_run { "not_run" } else { "answered" });
-    if let Some(text) = answer {
-        let headers = json!([["content-type", "text/plain; charset=utf-8"]]);
-        record["answer"] = json!({"status": 200, "headers": headers, "body": base64(&text)});
+    match record.state {
+        CallState::Unknown => {}
+        CallState::Open if record.until < unix_millis() => {}
+        CallState::Open => {
+            return Err(CtlError::other(format!("row {row:?} may still be in progress")));
+        }
+        state => return Err(CtlError::other(format!("row {row:?} is settled as {state}"))),
     }
-    let attempt = record["attempt"].as_str().unwrap_or_default();
-    let settled =
-        Row { tag: format!("{attempt}/settled"), value: record.to_string(), ..found.clone() };
+    record.state = if not_run { CallState::NotRun } else { CallState::Answered };
+    record.answer = answer.map(|text| {
+        let headers = [("content-type".to_owned(), "text/plain; charset=utf-8".to_owned())];
+        Answer {
+            headers: headers.into(),
+            ..Answer::new(StatusCode::OK, &HeaderMap::new(), text.as_bytes())
+        }
+    });
+    let value = serde_json::to_string(&record)
+        .map_err(|e| CtlError::other(format!("record of row {row:?} not written: {e}")))?;
+    let settled = Row { tag: settled_tag(&record.attempt), value, ..found.clone() };
     let write = Write { row: &settled, condition: Condition::Tag(&found.tag) };
     match table.transact(&[write]).await? {
         Outcome::Done => {
-            println!("row={row} state={}", record["state"]);
+            println!("row={row} state={}", record.state);
             Ok(())
         }
         Outcome::Conflict(_) => Err(CtlError::other(format!("row {row:?} changed meanwhile"))),
     }
 }
 
-fn base64(text: &str) -> String {
-    use base64::Engine;
-    base64::engine::general_purpose::STANDARD.encode(text)
+/// Milliseconds since 1970.
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
--- a/agatectl/src/main.rs
+++ b/agatectl/src/main.rs
@@ -7,7 +7,6 @@
 mod status;
 
 use std::process::ExitCode;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::args::{Command, command};
 use crate::error::CtlError;
@@ -53,8 +52,3 @@
         cause,
     })
 }
-
-/// Milliseconds since 1970.
-pub fn unix_millis() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
--- a/agaterouted/src/record.rs
+++ b/agateroute_platform/src/calls.rs
@@ -1,8 +1,6 @@
 //! The records of calls that may not be repeated, as they stand in the table service.
 
 use agateroute_config::digest::hex_digest;
-use agateroute_platform::table::Row;
-use agateroute_proto::peers::Claim;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -10,8 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 /// What is known of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize, derive_more::Display)]
 #[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
 pub enum CallState {
     /// An attempt holds the claim.
     Open,
@@ -84,7 +83,16 @@
 /// The row of a call: its partition and its sort key, joined by a slash.
 pub fn row_name(member: &str, service: &str, key: &str) -> String {
     let digest = hex_digest(format!("{member}\0{service}\0{key}").as_bytes());
-    format!("calls-{}/{digest}", &digest[..1])
+    format!("{}/{digest}", partition(&digest[..1]))
+}
+
+/// The partitions that calls are spread over.
+pub fn partitions() -> impl Iterator<Item = String> {
+    (0..16).map(|n| partition(&format!("{n:x}")))
+}
+
+fn partition(digit: &str) -> String {
+    format!("calls-{digit}")
 }
 
 /// The tag of a row whose attempt has settled it. It differs from the tag of an open claim, so
@@ -92,16 +100,3 @@
 pub fn settled_tag(attempt: &str) -> String {
     format!("{attempt}/settled")
 }
-
-/// The row that a claim writes.
-pub fn claim_row(claim: &Claim, expires: u64) -> Row {
-    let (partition, sort) = claim.row.split_once('/').unwrap_or((&claim.row, ""));
-    let tag = if claim.settle { settled_tag(&claim.attempt) } else { claim.attempt.clone() };
-    Row {
-        partition: partition.to_owned(),
-        sort: sort.to_owned(),
-        tag,
-        value: claim.record.clone(),
-        expires,
-    }
-}
--- a/agateroute_platform/src/lib.rs
+++ b/agateroute_platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each service is met through an adapter: a plain struct of functions that encode requests and
 //! decode answers. Another wire format is another value of that struct; nothing else changes.
 
+pub mod calls;
 pub mod config;
 pub mod error;
 pub mod http;
--- a/agaterouted/src/account.rs
+++ b/agaterouted/src/account.rs
@@ -8,9 +8,9 @@
 use http::StatusCode;
 use opentelemetry::{Context, KeyValue};
 
+use crate::clock::{day_of, unix_seconds};
 use crate::error::ApiError;
 use crate::shell::{ActiveGuard, Shell};
-use crate::tallies::{day_of, unix_seconds};
 use crate::telemetry::end_span;
 
 /// The share of gaps between tokens that may be longer than the target, as one in this many.
--- a/agaterouted/src/claims.rs
+++ b/agaterouted/src/claims.rs
@@ -2,11 +2,12 @@
 //! and replays it to a repeat. See `docs/DESIGN.md`, "At most once".
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use agateroute_config::digest::hex_digest;
 use agateroute_config::service::Service;
 use agateroute_core::event::{End, Sign, Ticket};
+use agateroute_platform::calls::{Answer, CallRecord, CallState, row_name, settled_tag};
 use agateroute_proto::peers::{Claim, ClaimOutcome};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
@@ -18,9 +19,9 @@
 
 use crate::account::{Account, Ended};
 use crate::call::{Attempt, Sent, admitted, attempt};
+use crate::clock::unix_millis;
 use crate::error::ApiError;
 use crate::plain::passes;
-use crate::record::{Answer, CallRecord, CallState, row_name, settled_tag};
 use crate::shell::{Shell, millis};
 
 /// The header on a replayed answer.
@@ -104,11 +105,6 @@
     Ok(response)
 }
 
-/// Milliseconds since 1970.
-pub fn unix_millis() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 impl Owned {
     async fn run(mut self) -> Result<Whole, ApiError> {
         let result = self.claimed().await;
--- a/agaterouted/src/jobs.rs
+++ b/agaterouted/src/jobs.rs
@@ -5,14 +5,14 @@
 
 use agateroute_core::Event;
 use agateroute_core::ledger::{RowResult, Transacted};
+use agateroute_platform::calls::settled_tag;
 use agateroute_platform::table::{Condition, Failure, Outcome, Row, Table, Write};
 use agateroute_proto::peers::Claim;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::record::claim_row;
+use crate::clock::unix_seconds;
 use crate::shell::Shell;
-use crate::tallies::unix_seconds;
 
 /// The partition of suspect requests.
 const SUSPECTS_PARTITION: &str = "suspects";
@@ -105,6 +105,19 @@
     }
 }
 
+/// The row that a claim writes.
+fn claim_row(claim: &Claim, expires: u64) -> Row {
+    let (partition, sort) = claim.row.split_once('/').unwrap_or((&claim.row, ""));
+    let tag = if claim.settle { settled_tag(&claim.attempt) } else { claim.attempt.clone() };
+    Row {
+        partition: partition.to_owned(),
+        sort: sort.to_owned(),
+        tag,
+        value: claim.record.clone(),
+        expires,
+    }
+}
+
 fn row_result(failure: Failure) -> RowResult {
     RowResult { failed: failure.failed, standing: failure.row.map(|r| (r.tag, r.value)) }
 }
--- a/agaterouted/src/report.rs
+++ b/agaterouted/src/report.rs
@@ -5,8 +5,9 @@
 use agateroute_platform::PlatformError;
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 
+use crate::clock::{day_of, unix_seconds};
 use crate::shell::{InForce, Shell};
-use crate::tallies::{TallyEntry, TallyRecord, day_of, flush, unix_seconds};
+use crate::tallies::{TallyEntry, TallyRecord, flush};
 
 /// The rows that are read at once.
 const PAGE: usize = 200;
--- a/agaterouted/src/tallies.rs
+++ b/agaterouted/src/tallies.rs
@@ -1,7 +1,7 @@
 //! Counts outcomes, and writes the tallies of this instance and of peers that can not.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use agateroute_core::Table;
 use agateroute_core::tally::{Tallies, Tally, TallyKey};
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::{day_of, unix_seconds};
 use crate::shell::{Shell, millis};
 
 /// The entries of one row, which keeps a row below the size that the table service takes.
@@ -156,17 +157,6 @@
     }
 }
 
-/// Seconds since 1970.
-pub fn unix_seconds() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
-}
-
-/// The day of a time in seconds since 1970, as YYYY-MM-DD in UTC.
-pub fn day_of(seconds: u64) -> String {
-    let time = UNIX_EPOCH + Duration::from_secs(seconds);
-    humantime::format_rfc3339_seconds(time).to_string().chars().take(10).collect()
-}
-
 fn table_row(name: &str, record: &str, sequence: u64) -> Row {
     let (partition, sort) = name.split_once('/').unwrap_or((name, ""));
     Row {
--- a/agaterouted/tests/parsers.rs
+++ b/agaterouted/tests/parsers.rs
@@ -4,6 +4,7 @@
 
 use agateroute_config::Document;
 use agateroute_config::digest::hex_digest;
+use agateroute_platform::calls::{Answer, CallRecord};
 use agateroute_platform::instances::HTTP_SD;
 use agateroute_platform::manifest::{Manifest, join, split};
 use agateroute_platform::table::{Condition, DYNAMO, Outcome, Row, Write};
@@ -12,7 +13,6 @@
 use agaterouted::collect::Collected;
 use agaterouted::engine::OPENAI;
 use agaterouted::plain::HTTP;
-use agaterouted::record::{Answer, CallRecord};
 use agaterouted::tallies::TallyRecord;
 use bolero::check;
 use http::{HeaderMap, StatusCode};
