Count a cached prefix once, by late and gappy cache events

Change: engines tell of their prefix cache with a sequence; the owner counts a shared prefix once while it is known cached, and forgets all of it after a gap, a crash or a refusal. The stand-in shares memory the same way and loses some events. With it: an engine that is reclaimed at short notice, for the experiment.

--- a/agateroute_core/src/admission.rs
+++ b/agateroute_core/src/admission.rs
@@ -3,7 +3,7 @@
 use agateroute_proto::peers::Ask;
 
 use crate::catalog::Capacity;
-use crate::desk::{Desk, Surroundings, Waiting};
+use crate::desk::{Desk, Held, Surroundings, Waiting};
 use crate::estimate::{Class, Curve, Estimator};
 use crate::id::Id;
 use crate::memory::{self, Load};
@@ -62,16 +62,16 @@
 
 fn memory_room(desk: &Desk, waiting: &Waiting, memory: f64, around: &Surroundings<'_>) -> bool {
     let prior = Curve::prior();
-    let running = desk.running.iter().map(|h| Load {
-        prompt: h.prompt as f32,
-        done: h.tokens as f32,
-        most: most_tokens(h.most),
-        curve: around.estimator.curve(h.class).unwrap_or(&prior),
-    });
     let ask = &waiting.ask;
+    let running = desk.running.iter().enumerate().map(|(i, held)| Load {
+        prompt: own_prompt(desk, held.prompt, held.prefix, ask, &desk.running[..i]),
+        done: held.tokens as f32,
+        most: most_tokens(held.most),
+        curve: around.estimator.curve(held.class).unwrap_or(&prior),
+    });
     let class = Class { model: ask.target, kind: ask.kind, member: ask.member };
     let added = Load {
-        prompt: ask.prompt as f32,
+        prompt: own_prompt(desk, ask.prompt, ask.prefix, ask, &desk.running),
         done: 0.0,
         most: most_tokens(ask.most),
         curve: around.estimator.curve(class).unwrap_or(&prior),
@@ -80,6 +80,14 @@
     f64::from(peak) + desk.foreign(around.now) as f64 <= memory
 }
 
+/// The tokens of a prompt that are not held by one of `before` already. A prefix counts once when the
+/// engine says that it is cached. All prefixes are of the same length.
+fn own_prompt(desk: &Desk, prompt: u32, prefix: u64, ask: &Ask, before: &[Held]) -> f32 {
+    let shared = desk.shares(prefix) && before.iter().any(|h| h.prefix == prefix);
+    let own = if shared { prompt.saturating_sub(ask.shared) } else { prompt };
+    own as f32
+}
+
 fn most_tokens(most: u32) -> f32 {
     if most == 0 { f32::INFINITY } else { most as f32 }
 }
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -10,7 +10,7 @@
 use crate::admission;
 use crate::catalog::{Capacity, Catalog};
 use crate::estimate::{Class, Estimator};
-use crate::event::{Report, RequestId};
+use crate::event::{CacheNews, Report, RequestId};
 use crate::fairness::Counters;
 use crate::id::{Id, Millis};
 use crate::slots::Limit;
@@ -36,6 +36,8 @@
 const LOAD_STEP: u32 = 20;
 /// How much longer than its time an ask may be predicted to wait before it is denied at once.
 const PREDICTION_SLACK: f64 = 1.25;
+/// The most cached prefixes that are remembered for one engine.
+const CACHED_MOST: usize = 4_096;
 /// The weight of the newest interval in the mean interval between departures from the queue.
 const INTERVAL_WEIGHT: f64 = 0.1;
 
@@ -68,6 +70,8 @@
         pub tokens: u32,
         /// The most tokens that the caller wants, 0 where it did not say.
         pub most: u32,
+        /// The hash of the start of its prompt, 0 where it is not known.
+        pub prefix: u64,
         /// What was charged for it so far.
         pub charged: f64,
         /// Whether it has to run alone.
@@ -96,6 +100,8 @@
         pub closed: bool,
         /// Whether the owner stands in for one that others may still use.
         pub acting: bool,
+        /// The prefixes that the engine says it has cached, sorted.
+        pub cached: Vec<u64>,
         /// When the desk was set up.
         pub since: Millis,
         samples: Vec<Sample>,
@@ -147,6 +153,7 @@
             limit: Limit::new(most),
             closed: false,
             acting: false,
+            cached: Vec::new(),
             since: now,
             samples: Vec::new(),
             askers: Table::default(),
@@ -287,6 +294,7 @@
                     prompt: hold.prompt,
                     tokens: hold.tokens,
                     most: 0,
+                    prefix: 0,
                     charged: f64::from(hold.prompt),
                     alone: false,
                 };
@@ -310,6 +318,31 @@
         self.pump(around, out);
     }
 
+    /// Takes over what the engine tells of its prefix cache. It tells late and with gaps; after a gap
+    /// only what is told anew counts.
+    pub fn cache_news(&mut self, news: &CacheNews) {
+        if news.gap {
+            self.cached.clear();
+        }
+        for prefix in &news.added {
+            if let Err(at) = self.cached.binary_search(prefix)
+                && self.cached.len() < CACHED_MOST
+            {
+                self.cached.insert(at, *prefix);
+            }
+        }
+        for prefix in &news.removed {
+            if let Ok(at) = self.cached.binary_search(prefix) {
+                self.cached.remove(at);
+            }
+        }
+    }
+
+    /// Whether the engine holds a prefix once for several prompts.
+    pub fn shares(&self, prefix: u64) -> bool {
+        prefix != 0 && self.cached.binary_search(&prefix).is_ok()
+    }
+
     /// Takes over a load report.
     pub fn report(&mut self, report: Report, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
         let before = self.report.as_ref().map(|(_, r)| r.preemptions);
@@ -331,6 +364,8 @@
     /// Stops giving permits until the server reports again.
     pub fn close(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
         self.closed = true;
+        // A server that comes back may have lost its cache.
+        self.cached.clear();
         self.close_or_pump(around, out);
     }
 
@@ -497,6 +532,7 @@
             prompt: ask.prompt,
             tokens: 0,
             most: ask.most,
+            prefix: ask.prefix,
             charged,
             alone: ask.alone,
         };
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -142,6 +142,8 @@
             most: ticket.most,
             wait_ms: ticket.deadline.saturating_sub(now) as u32,
             alone: pending.alone,
+            prefix: ticket.prefix,
+            shared: ticket.shared,
         };
         let step = match self.catalog.servers.get(&server).map(|s| s.capacity) {
             Some(Capacity::Engine { batch, .. }) => 1000 / batch.max(1),
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -32,6 +32,8 @@
         pub most: u32,
         /// A hash of the start of the prompt, 0 where there is none.
         pub prefix: u64,
+        /// The tokens of that start.
+        pub shared: u32,
         /// A hash of member, kind and body, which tells a repeated request.
         pub fingerprint: u64,
         /// When the target can no longer be met.
@@ -54,6 +56,16 @@
         pub age_ms: u64,
     }
 
+    /// What a model engine tells of its prefix cache.
+    pub struct CacheNews {
+        /// Prefixes that are cached now.
+        pub added: Vec<u64>,
+        /// Prefixes that are no longer cached.
+        pub removed: Vec<u64>,
+        /// Whether events are missing before these, so that nothing older can be relied on.
+        pub gap: bool,
+    }
+
     /// How work on a backend server ended.
     pub enum End {
         /// The answer was whole.
@@ -146,6 +158,13 @@
             /// The report.
             report: Report,
         },
+        /// Cache events of a model engine were read.
+        Cached {
+            /// The backend server.
+            server: Id,
+            /// What they tell.
+            news: CacheNews,
+        },
         /// A load report could not be read.
         Unreported {
             /// The backend server.
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -112,6 +112,9 @@
             Event::Progressed { request, tokens } => self.progressed(request, tokens),
             Event::Ended { request, end } => self.ended(request, &end),
             Event::Reported { server, report } => self.reported(server, report),
+            Event::Cached { server, news } => {
+                self.with_desk(server, |desk, _, _| desk.cache_news(&news));
+            }
             Event::Unreported { server, refused } => self.unreported(server, refused),
             Event::ServerLeaving { server } => {
                 self.health.leaving(server, self.now);
--- a/agateroute_core/tests/scenarios.rs
+++ b/agateroute_core/tests/scenarios.rs
@@ -1,13 +1,13 @@
 //! Scripted scenarios on the reducer; each script describes a failure and what comes of it.
 //!
 //! Commands: `fleet`, `arrive`, `flood`, `pass`, `progress`, `end`, `abandon`, `kill`, `replace`,
-//! `finish`, `cut`, `heal`, `leave`, `report`, `claim`, `table`, `desks`. See `docs/TESTING.md`.
+//! `finish`, `cut`, `heal`, `leave`, `report`, `cached`, `claim`, `table`, `desks`. See `docs/TESTING.md`.
 
 mod world;
 
 use std::error::Error;
 
-use agateroute_core::event::{End, Report, Sign};
+use agateroute_core::event::{CacheNews, End, Report, Sign};
 use agateroute_core::{Event, id};
 use goldenscript::{Command, Context, Runner};
 use world::{World, document};
@@ -40,11 +40,14 @@
         let most = args.take_key("most").unwrap_or("0").parse()?;
         let prompt = args.take_key("prompt").map(str::parse).transpose()?;
         let fingerprint = args.take_key("fingerprint").map(str::parse).transpose()?;
+        let prefix = args.take_key("prefix").map(str::parse).transpose()?;
         while let Some(request) = args.next_pos() {
             let mut ticket = self.world.ticket(request.parse()?, member, kind);
             ticket.most = most;
             ticket.prompt = prompt.unwrap_or(ticket.prompt);
             ticket.fingerprint = fingerprint.unwrap_or(ticket.fingerprint);
+            ticket.prefix = prefix.unwrap_or(0);
+            ticket.shared = if ticket.prefix == 0 { 0 } else { 300 };
             self.world.arrive(at, ticket);
         }
         Ok(self.world.take_log())
@@ -117,6 +120,23 @@
         Ok(self.world.take_log())
     }
 
+    /// An engine tells which prefixes it has cached.
+    fn cached(&mut self, command: &Command) -> Outcome {
+        let mut args = command.consume_args();
+        let gap = args.take_key("gap").is_some();
+        let server = id(args.take_key("on").unwrap_or("engine-0"));
+        let gone = args.take_key("gone").map(str::parse).transpose()?;
+        let mut added = Vec::new();
+        while let Some(prefix) = args.next_pos() {
+            added.push(prefix.parse()?);
+        }
+        let news = CacheNews { added, removed: gone.into_iter().collect(), gap };
+        for at in 0..self.world.instances.len() {
+            self.world.apply(at, Event::Cached { server, news: news.clone() });
+        }
+        Ok(self.world.take_log())
+    }
+
     fn two(&mut self, command: &Command) -> Result<(usize, usize), Box<dyn Error>> {
         let mut args = command.consume_args();
         let mut next = || args.next_pos().ok_or("two instances are needed");
@@ -189,6 +209,7 @@
             "end" => return self.end(command),
             "progress" => return self.progress(command),
             "report" => return self.report(command),
+            "cached" => return self.cached(command),
             "claim" => return self.claim(command),
             "table" => return self.table(command),
             "desks" => return Ok(self.desks()),
@@ -230,6 +251,7 @@
 }
 
 scenarios! {
+    cached_prefix
     crashing_request
     crowded_memory
     deferrable_floor
--- a/agateroute_core/tests/world/mod.rs
+++ b/agateroute_core/tests/world/mod.rs
@@ -276,6 +276,7 @@
             prompt: if plain { 0 } else { 100 },
             most: 0,
             prefix: 0,
+            shared: 0,
             fingerprint: request,
             deadline: self.now + promise.first_token_ms,
         }
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -96,6 +96,12 @@
     /// Whether the request has to run alone, since a server crashed under it.
     #[prost(bool, tag = "10")]
     pub alone: bool,
+    /// The hash of the start of the prompt, 0 where it is too short to share.
+    #[prost(fixed64, tag = "11")]
+    pub prefix: u64,
+    /// The tokens of that start.
+    #[prost(uint32, tag = "12")]
+    pub shared: u32,
 }
 /// Permits the start of a request.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -130,6 +130,7 @@
         prompt: 0,
         most: 0,
         prefix: 0,
+        shared: 0,
         fingerprint: mix(mix(member, kind), content),
         deadline: shell.now() + document.ranks[rank].answer_ms,
     }
--- a/agaterouted/src/engine.rs
+++ b/agaterouted/src/engine.rs
@@ -3,7 +3,7 @@
 
 use std::borrow::Cow;
 
-use agateroute_core::event::Report;
+use agateroute_core::event::{CacheNews, Report};
 use bytes::Bytes;
 use http::{Method, Request, header};
 use http_body_util::Full;
@@ -24,6 +24,8 @@
     pub generation: &'a str,
     /// The priority, 0 for the most urgent.
     pub priority: u8,
+    /// The key under which the engine reports the start of the prompt as cached, 0 for none.
+    pub prefix: u64,
 }
 
 /// A model or adapter in a version, as an engine has it loaded.
@@ -76,6 +78,9 @@
     pub completion_tokens: u32,
 }
 
+/// The sequence number of the last cache event, and what the events tell.
+pub type CacheAnswer = serde_json::Result<(u64, CacheNews)>;
+
 /// The functions that speak an engine's wire format. Each takes the engine's address first.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineAdapter {
@@ -87,6 +92,11 @@
     pub cancel: fn(&str, &str) -> ServerRequest,
     /// Encodes a read of the load report.
     pub report: fn(&str) -> ServerRequest,
+    /// Encodes a read of the cache events after a sequence number.
+    pub cache: fn(&str, u64) -> ServerRequest,
+    /// Decodes cache events that were asked for after a sequence number. Returns the number to ask
+    /// after next time.
+    pub decode_cache: fn(u64, &[u8]) -> CacheAnswer,
     /// Encodes a read of what is loaded.
     pub loaded: fn(&str) -> ServerRequest,
     /// Encodes an order to load something or change role.
@@ -105,6 +115,8 @@
     resume: openai_resume,
     cancel: openai_cancel,
     report: load_report,
+    cache: engine_cache,
+    decode_cache: engine_decode_cache,
     loaded: openai_loaded,
     order: engine_order,
     decode_loaded: openai_decode_loaded,
@@ -130,6 +142,9 @@
     body.insert("stream_options".to_owned(), json!({"include_usage": true}));
     body.insert("priority".to_owned(), order.priority.into());
     body.insert("generation_id".to_owned(), order.generation.into());
+    if order.prefix != 0 {
+        body.insert("prefix_key".to_owned(), format!("{:016x}", order.prefix).into());
+    }
     let path = if order.chat { "/v1/chat/completions" } else { "/v1/completions" };
     build(Method::POST, address, path, Value::Object(body).to_string())
 }
@@ -147,6 +162,43 @@
     build(Method::GET, address, "/load", "")
 }
 
+fn engine_cache(address: &str, after: u64) -> ServerRequest {
+    build(Method::GET, address, &format!("/cache?after={after}"), "")
+}
+
+#[derive(Deserialize)]
+struct WireCache {
+    events: Vec<WireCacheEvent>,
+}
+
+#[derive(Deserialize)]
+struct WireCacheEvent {
+    sequence: u64,
+    prefix: String,
+    cached: bool,
+}
+
+/// A jump in the sequence, forwards or backwards, means that events are missing.
+fn engine_decode_cache(after: u64, body: &[u8]) -> CacheAnswer {
+    let wire: WireCache = serde_json::from_slice(body)?;
+    let mut news = CacheNews { added: Vec::new(), removed: Vec::new(), gap: false };
+    let mut last = after;
+    for event in wire.events {
+        if event.sequence != last.wrapping_add(1) {
+            news = CacheNews { added: Vec::new(), removed: Vec::new(), gap: true };
+        }
+        last = event.sequence;
+        let Ok(prefix) = u64::from_str_radix(&event.prefix, 16) else { continue };
+        let (to, from) = match event.cached {
+            true => (&mut news.added, &mut news.removed),
+            false => (&mut news.removed, &mut news.added),
+        };
+        from.retain(|p| *p != prefix);
+        to.push(prefix);
+    }
+    Ok((last, news))
+}
+
 fn openai_loaded(address: &str) -> ServerRequest {
     build(Method::GET, address, "/v1/models", "")
 }
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -86,7 +86,7 @@
     ticket: Ticket,
     asked: Asked,
 ) -> Result<WebResponse, ApiError> {
-    let priority = ticket.rank;
+    let (priority, prefix) = (ticket.rank, ticket.prefix);
     let mut queue = shell.telemetry.span("queue", SpanKind::Internal, &account.context);
     let mut permit = shell.arrive(ticket);
     let mut began = false;
@@ -106,8 +106,13 @@
         account.started(&server.name);
         let granted = shell.telemetry.span("permit", SpanKind::Internal, &account.context);
         let generation = format!("{:032x}", rand::random::<u128>());
-        let order =
-            StartOrder { chat: asked.chat, body: &asked.body, generation: &generation, priority };
+        let order = StartOrder {
+            chat: asked.chat,
+            body: &asked.body,
+            generation: &generation,
+            priority,
+            prefix,
+        };
         let opened = Generation::open(shell, &server, &order, &granted).await;
         end_span(&granted, "used");
         match opened {
@@ -409,6 +414,7 @@
         prompt: asked.prompt,
         most: asked.most,
         prefix,
+        shared: if prefix == 0 { 0 } else { (PREFIX_BYTES / BYTES_PER_TOKEN) as u32 },
         fingerprint: mix(mix(member, kind), id_of_bytes(body)),
         deadline: shell.now() + document.ranks[declared.rank].first_token_ms,
     }
--- a/agaterouted/src/ops.rs
+++ b/agaterouted/src/ops.rs
@@ -117,6 +117,7 @@
         "waiting": desk.waiting.len(),
         "running": desk.running.len(),
         "account": desk.account(),
+        "cached": desk.cached.len(),
         "deviations": desk.deviations,
         "report": report,
     })
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -75,6 +75,7 @@
     claims: Table<RequestId, oneshot::Sender<(ClaimOutcome, String)>>,
     links: Table<Id, Link>,
     members: Table<Id, u32>,
+    cursors: Table<Id, u64>,
     jobs: mpsc::UnboundedSender<Job>,
     book: Arc<Book>,
 }
@@ -136,6 +137,7 @@
                 claims: Table::default(),
                 links: Table::default(),
                 members: Table::default(),
+                cursors: Table::default(),
                 jobs,
                 book,
             }),
@@ -268,6 +270,16 @@
         self.in_force().version > 0
     }
 
+    /// The sequence number of the last cache event that was read of an engine.
+    pub fn cache_cursor(&self, server: Id) -> u64 {
+        self.lock().cursors.get(&server).copied().unwrap_or(0)
+    }
+
+    /// Notes the sequence number of the last cache event that was read of an engine.
+    pub fn set_cache_cursor(&self, server: Id, sequence: u64) {
+        self.lock().cursors.insert(server, sequence);
+    }
+
     /// Sends a batch on every stream at once, since it tells the version in force.
     fn wake_links(&self) {
         for link in self.lock().links.values() {
--- a/agaterouted/src/watch.rs
+++ b/agaterouted/src/watch.rs
@@ -55,6 +55,23 @@
         Err(_) => Event::Unreported { server: server.id, refused: false },
     };
     shell.apply(event);
+    if server.engine {
+        let read = read_cache(&shell, &http, &server);
+        let _ = tokio::time::timeout(limit, read).await;
+    }
+}
+
+/// Reads the cache events of an engine since the last time.
+async fn read_cache(shell: &Shell, http: &HttpClient, server: &ServerRef) -> Option<()> {
+    let after = shell.cache_cursor(server.id);
+    let response = http.request((OPENAI.cache)(&server.address, after)).await.ok()?;
+    let body = Limited::new(response.into_body(), REPORT_MOST).collect().await.ok()?.to_bytes();
+    let (last, news) = (OPENAI.decode_cache)(after, &body).ok()?;
+    if last != after {
+        shell.set_cache_cursor(server.id, last);
+        shell.apply(Event::Cached { server: server.id, news });
+    }
+    Some(())
 }
 
 /// Reads one load report. The error tells whether the connection was refused.
--- a/agaterouted/tests/parsers.rs
+++ b/agaterouted/tests/parsers.rs
@@ -31,7 +31,7 @@
     "{\"Item\":{\"pk\":{\"S\":\"a\"},\"sk\":{\"S\":\"b\"},\"tag\":{\"S\":\"c\"},\"value\":{\"S\":\"d\"}}}",
     "{\"__type\":\"x#TransactionCanceledException\",\"CancellationReasons\":[{\"Code\":\"ConditionalCheckFailed\"}]}",
     "[{\"targets\":[\"127.0.0.1:1\"],\"labels\":{\"instance\":\"a\",\"role\":\"entry\",\"state\":\"live\"}}]",
-    "{\"bytes\":5}",
+    "{\"events\":[{\"sequence\":4,\"prefix\":\"0f\",\"cached\":true}]}",
     "Bearer ",
     "null",
     "\u{0}",
@@ -69,6 +69,7 @@
             let _ = (OPENAI.decode)(&text);
             let _ = (OPENAI.decode_report)(&bytes);
             let _ = (OPENAI.decode_loaded)(&bytes);
+            let _ = (OPENAI.decode_cache)(3, &bytes);
             let _ = (HTTP.decode_report)(&bytes);
             let mut collected = Collected::default();
             if collected.add(&text).is_ok() {
--- a/agatestand/src/args.rs
+++ b/agatestand/src/args.rs
@@ -123,7 +123,7 @@
         /// The slots on each server of a baseline with fixed slots
         #[bpaf(long("slots"), argument("N"), many)]
         slots: Vec<usize>,
-        /// Crash an engine in the middle of each run
+        /// Crash an engine and reclaim another one in the middle of each run
         #[bpaf(long)]
         crash: bool,
         /// Leave the baselines out
--- a/agatestand/src/batch.rs
+++ b/agatestand/src/batch.rs
@@ -6,6 +6,8 @@
 
 /// Tokens of prompts that one step can compute beside its decoding.
 const PREFILL_STEP_TOKENS: u64 = 2_048;
+/// The tokens of a prefix.
+pub const PREFIX_TOKENS: u64 = 128;
 /// The prompts whose prefixes are kept.
 const PREFIXES_MOST: usize = 64;
 
@@ -50,6 +52,7 @@
     prefixes: Vec<u64>,
     arrivals: u64,
     preemptions: u64,
+    changes: Vec<(u64, bool)>,
 }
 
 impl Job {
@@ -83,6 +86,7 @@
             prefixes: Vec::new(),
             arrivals: 0,
             preemptions: 0,
+            changes: Vec::new(),
         }
     }
 
@@ -101,7 +105,23 @@
 
     /// The tokens in memory.
     pub fn used(&self) -> u64 {
-        self.running.iter().map(Job::held).sum()
+        let whole: u64 = self.running.iter().map(Job::held).sum();
+        whole - self.shared()
+    }
+
+    /// The tokens of prefixes that are held once for several jobs.
+    fn shared(&self) -> u64 {
+        let mut prefixes: Vec<u64> =
+            self.running.iter().map(|j| j.prefix).filter(|p| self.prefixes.contains(p)).collect();
+        prefixes.sort_unstable();
+        let all = prefixes.len();
+        prefixes.dedup();
+        PREFIX_TOKENS * (all - prefixes.len()) as u64
+    }
+
+    /// What has changed in the prefix cache since the last call: prefixes and whether they are cached.
+    pub fn cache_changes(&mut self) -> Vec<(u64, bool)> {
+        std::mem::take(&mut self.changes)
     }
 
     /// The jobs in the batch.
@@ -159,10 +179,15 @@
         if prefix == 0 {
             return;
         }
+        let known = self.prefixes.len();
         self.prefixes.retain(|p| *p != prefix);
+        if self.prefixes.len() == known {
+            self.changes.push((prefix, true));
+        }
         self.prefixes.push(prefix);
         if self.prefixes.len() > PREFIXES_MOST {
-            self.prefixes.remove(0);
+            let gone = self.prefixes.remove(0);
+            self.changes.push((gone, false));
         }
     }
 
--- a/agatestand/src/compare.rs
+++ b/agatestand/src/compare.rs
@@ -15,6 +15,9 @@
 /// The time in which engines come to rest between two runs.
 const REST: Duration = Duration::from_secs(2);
 
+/// The notice of an engine that is reclaimed, in milliseconds.
+const RECLAIM_NOTICE_MS: u64 = 2_000;
+
 /// What to compare.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -32,7 +35,7 @@
     pub seed: u64,
     /// The slots on each server of the baselines with fixed slots.
     pub slots: Vec<usize>,
-    /// Whether an engine crashes in the middle of each run.
+    /// Whether an engine crashes and another one is reclaimed in the middle of each run.
     pub crash: bool,
     /// Whether the baselines are left out.
     pub alone: bool,
@@ -73,12 +76,15 @@
 
 async fn one_run(plan: &Plan, aim: &Aim, engines: &[String]) -> RunResult {
     let spec = plan.case.spec(&plan.document, plan.rate, plan.seconds, plan.seed);
-    let crash = plan.crash.then(|| engines[0].clone());
+    let failures = [
+        (engines[0].clone(), Control::Crash),
+        (engines[1 % engines.len()].clone(), Control::Reclaim { notice_ms: RECLAIM_NOTICE_MS }),
+    ];
     let half = Duration::from_secs_f64(plan.seconds / 2.0);
-    if let Some(engine) = crash {
+    for (engine, control) in failures.into_iter().filter(|_| plan.crash) {
         tokio::spawn(async move {
             tokio::time::sleep(half).await;
-            let body = serde_json::to_vec(&Control::Crash).unwrap_or_default();
+            let body = serde_json::to_vec(&control).unwrap_or_default();
             let request = Request::post(format!("http://{engine}/control"));
             if let Ok(request) = request.body(Full::<Bytes>::from(body)) {
                 let _ = client(false).request(request).await;
--- a/agatestand/src/engine.rs
+++ b/agatestand/src/engine.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::batch::{Batch, Job};
+use crate::batch::{Batch, Job, PREFIX_TOKENS};
 use crate::lengths::Lengths;
 use crate::reply;
 use crate::serve::{self, Body};
@@ -23,6 +23,8 @@
 
 /// How many ended generations can still be resumed.
 const ENDED_MOST: usize = 4_096;
+/// The cache events that are kept for readers.
+const CACHE_EVENTS_MOST: usize = 1_000;
 /// The bytes at the start of a prompt that the prefix cache looks at.
 const PREFIX_BYTES: usize = 512;
 /// The bytes of text that make one token.
@@ -57,6 +59,8 @@
     pub restart: Duration,
     /// Whether orders with an old fencing number are refused.
     pub fenced: bool,
+    /// Each so many cache events, one is lost.
+    pub cache_gap: Option<u64>,
     /// What is loaded at the start, as name and version.
     pub loaded: Vec<(String, String)>,
     /// The time that loading takes.
@@ -78,6 +82,7 @@
             poison: None,
             restart: Duration::from_millis(500),
             fenced: false,
+            cache_gap: Some(50),
             loaded: Vec::new(),
             load_time: Duration::from_millis(50),
         }
@@ -101,6 +106,14 @@
     pub age_ms: u64,
 }
 
+/// A change in the prefix cache.
+#[derive(Clone, Debug, Serialize)]
+struct CacheEvent {
+    sequence: u64,
+    prefix: String,
+    cached: bool,
+}
+
 /// A failure or change that is ordered from outside.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(tag = "action", rename_all = "snake_case")]
@@ -116,6 +129,11 @@
     Drain,
     /// Take new work again.
     Undrain,
+    /// Take no new work, and be gone after a notice.
+    Reclaim {
+        /// The notice, in milliseconds.
+        notice_ms: u64,
+    },
 }
 
 /// An order to load something or change role.
@@ -154,6 +172,8 @@
     stalled: Option<Instant>,
     crashed: bool,
     fencing: u64,
+    cache_events: Vec<(Instant, CacheEvent)>,
+    cache_sequence: u64,
     orders: Vec<FleetOrder>,
     loaded: Vec<(String, String, Instant)>,
     started: u64,
@@ -233,6 +253,14 @@
             }
             Control::Drain => state.draining = true,
             Control::Undrain => state.draining = false,
+            Control::Reclaim { notice_ms } => {
+                state.draining = true;
+                let (engine, notice) = (self.clone(), Duration::from_millis(*notice_ms));
+                tokio::spawn(async move {
+                    tokio::time::sleep(notice).await;
+                    engine.control(&Control::Crash);
+                });
+            }
         }
     }
 
@@ -270,6 +298,11 @@
                 Err(e) => reply::json(StatusCode::BAD_REQUEST, &json!({"error": e.to_string()})),
             },
             (&Method::POST, "/orders") => self.order(&reply::read(body).await),
+            (&Method::GET, "/cache") => {
+                let after = head.uri.query().and_then(|q| q.strip_prefix("after="));
+                let after = after.and_then(|n| n.parse().ok()).unwrap_or(0);
+                reply::json(StatusCode::OK, &self.lock().cache_news(after, self.options.lag))
+            }
             (&Method::GET, "/v1/models") => reply::json(StatusCode::OK, &self.lock().models()),
             (&Method::GET, "/orders") => reply::json(StatusCode::OK, &self.lock().orders),
             _ => match path.strip_prefix("/v1/generations/") {
@@ -371,6 +404,8 @@
             stalled: None,
             crashed: false,
             fencing: 0,
+            cache_events: Vec::new(),
+            cache_sequence: 0,
             orders: Vec::new(),
             loaded: options
                 .loaded
@@ -403,7 +438,11 @@
             capped: drawn > most,
             progress: watch::Sender::new((0, false)),
         });
-        self.batch.add(Job::new(&id, priority, prompt, prefix_of(&text), length));
+        let given = body.get("prefix_key").and_then(Value::as_str);
+        let given = given.and_then(|k| u64::from_str_radix(k, 16).ok());
+        let prefix = given.unwrap_or_else(|| prefix_of(&text));
+        let prefix = if prompt > PREFIX_TOKENS { prefix } else { 0 };
+        self.batch.add(Job::new(&id, priority, prompt, prefix, length));
         self.generations.push(generation.clone());
         if self.generations.len() > ENDED_MOST {
             let at = self.generations.iter().position(|g| g.progress.borrow().1);
@@ -426,6 +465,19 @@
                 }
             }
         }
+        for (prefix, cached) in self.batch.cache_changes() {
+            self.cache_sequence += 1;
+            let lost =
+                options.cache_gap.is_some_and(|each| self.cache_sequence.is_multiple_of(each));
+            if !lost {
+                let prefix = format!("{prefix:016x}");
+                let event = CacheEvent { sequence: self.cache_sequence, prefix, cached };
+                self.cache_events.push((now, event));
+            }
+        }
+        if self.cache_events.len() > CACHE_EVENTS_MOST {
+            self.cache_events.remove(0);
+        }
         let fresh =
             self.reports.last().is_none_or(|(at, _)| now - *at >= Duration::from_millis(20));
         if fresh {
@@ -436,6 +488,16 @@
         }
     }
 
+    /// The cache events after a sequence number that are at least as old as the lag.
+    fn cache_news(&self, after: u64, lag: Duration) -> Value {
+        let now = Instant::now();
+        let old = self.cache_events.iter().filter(|(at, _)| now - *at >= lag);
+        // A reader that is ahead has known another life of this engine and gets all events.
+        let after = if after > self.cache_sequence { 0 } else { after };
+        let events: Vec<&CacheEvent> = old.map(|(_, e)| e).filter(|e| e.sequence > after).collect();
+        json!({"events": events})
+    }
+
     fn models(&self) -> Value {
         let now = Instant::now();
         let ready = self.loaded.iter().filter(|(_, _, at)| *at <= now);
