Steer the memory kept free by each preemption

Cause: with three deviations, a step of one and no permits while requests wait on the engine, the reserve only grew. Change: two deviations, 0.2 up for each preemption, 0.05 down for each report without, between half and twice; the rule on waiting requests is taken back.

--- a/agateroute_config/src/routing.rs
+++ b/agateroute_config/src/routing.rs
@@ -71,7 +71,7 @@
             load_ms: 100,
             peer_ms: 2_000,
             fallback_percent: 25,
-            deviations: 3.0,
+            deviations: 2.0,
             notice_ms: 2_000,
             tally_ms: 10_000,
             record_hours: 48,
--- a/agateroute_core/src/admission.rs
+++ b/agateroute_core/src/admission.rs
@@ -40,9 +40,6 @@
     if waiting.ask.alone || desk.running.iter().any(|h| h.alone) {
         return false;
     }
-    if desk.backed_up(around.now) {
-        return false;
-    }
     let part = match desk.cautious(around.now) {
         true => f64::from(around.catalog.routing().fallback_percent) / 100.0,
         false => 1.0,
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -25,11 +25,14 @@
 const SAMPLES_MOST: usize = 64;
 /// The most members whose counters are kept while idle.
 const COUNTERS_MOST: usize = 4_096;
-/// The steps in which the deviations kept free follow the preemptions that are observed.
-const DEVIATIONS_UP: f32 = 1.0;
-const DEVIATIONS_DOWN: f32 = 0.01;
-/// The most deviations that are kept free.
-const DEVIATIONS_MOST: f32 = 8.0;
+/// The steps in which the deviations kept free follow each preemption, and each report without one.
+const DEVIATIONS_UP: f32 = 0.2;
+const DEVIATIONS_DOWN: f32 = 0.05;
+/// The preemptions of one report that count.
+const PREEMPTIONS_MOST: u64 = 3;
+/// The bounds of the deviations, as factors on the declared ones.
+const DEVIATIONS_LEAST: f32 = 0.5;
+const DEVIATIONS_MOST: f32 = 2.0;
 /// How long a peer that asked is told of the load, in milliseconds.
 const ASKER_MS: Millis = 3_000;
 /// The change of the load that is worth telling, in thousandths of what the server can take.
@@ -345,22 +348,23 @@
 
     /// Takes over a load report.
     pub fn report(&mut self, report: Report, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
-        let before = self.report.as_ref().map(|(_, r)| r.preemptions);
-        match before {
-            Some(before) if report.preemptions > before => {
-                self.deviations = (self.deviations + DEVIATIONS_UP).min(DEVIATIONS_MOST);
-            }
-            _ => {
-                let least = around.catalog.routing().deviations as f32;
-                self.deviations = (self.deviations - DEVIATIONS_DOWN).max(least);
-            }
-        }
+        self.steer(report.preemptions, around);
         self.closed = report.leaving;
         self.report = Some((around.now, report));
         self.sample(around.now);
         self.close_or_pump(around, out);
     }
 
+    /// Keeps more memory free after preemptions, and less while there are none.
+    fn steer(&mut self, preemptions: u64, around: &Surroundings<'_>) {
+        let Some((_, before)) = &self.report else { return };
+        let fresh = preemptions.saturating_sub(before.preemptions).min(PREEMPTIONS_MOST);
+        let change = if fresh > 0 { DEVIATIONS_UP * fresh as f32 } else { -DEVIATIONS_DOWN };
+        let middle = around.catalog.routing().deviations as f32;
+        let (least, most) = (middle * DEVIATIONS_LEAST, middle * DEVIATIONS_MOST);
+        self.deviations = (self.deviations + change).clamp(least, most);
+    }
+
     /// Stops giving permits until the server reports again.
     pub fn close(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
         self.closed = true;
@@ -461,13 +465,6 @@
         self.samples.iter().filter(|s| s.at >= from).map(figure).max().unwrap_or(0)
     }
 
-    /// Whether requests wait on the engine itself, since it has preempted some. More of them would only
-    /// preempt each other.
-    pub fn backed_up(&self, now: Millis) -> bool {
-        let engine = matches!(self.capacity, Capacity::Engine { .. });
-        engine && self.fresh_report(now).is_some_and(|r| r.waiting > 0)
-    }
-
     /// Whether the desk admits only the share that is safe without a full view.
     pub fn cautious(&self, now: Millis) -> bool {
         let starting = self.acting || now.saturating_sub(self.since) < WARM_UP_MS;
