Say on the page how far the figures of serving instances reach

Cause: looked at in a browser, the page said that every instance had reported all of it while the other instance's last ten seconds were missing (367 requests shown, 410 made). Change: the page names the time until which each serving instance is counted; headings wrap, so the table of members fits the page.

--- a/agaterouted/src/report.rs
+++ b/agaterouted/src/report.rs
@@ -26,11 +26,11 @@
 padding:0 1rem;color:#1b1b1b}h1{font-size:1.5rem}h2{font-size:1.15rem;margin-top:2rem}\
 .verdict{font-size:1.25rem;border-left:.4rem solid #2a7a3b;padding-left:.8rem}\
 .verdict.bad{border-color:#b03020}.scroll{overflow-x:auto}table{border-collapse:collapse;width:100%}\
-th,td{padding:.25rem .6rem;text-align:right;border-bottom:1px solid #ddd;white-space:nowrap}\
+th,td{padding:.25rem .5rem;text-align:right;border-bottom:1px solid #ddd;white-space:nowrap}th{white-space:normal;vertical-align:bottom}\
 th:first-child,td:first-child,td.text,th.text{text-align:left}\
 td.bad{color:#b03020;font-weight:600}.plots{display:flex;flex-wrap:wrap;gap:1.5rem}\
 figure{margin:0}figcaption{font-size:.85rem}svg{max-width:100%}\
-@media print{body{margin:0;max-width:none;font-size:11px}a{color:inherit}}";
+@media print{body{margin:0;max-width:none;font-size:9px}th,td{padding:.1rem .25rem}a{color:inherit}}";
 
 /// What is known of a day.
 #[derive(Clone, Debug, Default)]
@@ -132,6 +132,23 @@
         gaps
     }
 
+    /// How far the figures of instances reach that still serve.
+    fn reach(&self) -> Option<String> {
+        let serving: Vec<String> = self
+            .instances
+            .iter()
+            .filter(|c| !c.closed && c.until + self.patience >= self.now)
+            .map(|c| format!("{} {}", c.instance, clock(c.until)))
+            .collect();
+        (!serving.is_empty()).then(|| {
+            format!(
+                "Instances that still serve are counted until: {}. What they served after that is not \
+                 in the figures yet.",
+                serving.join(", ")
+            )
+        })
+    }
+
     fn by_rank(&self, member: &str, rank: &str) -> Tally {
         let mut sum = Tally::default();
         for ((m, _, r), tally) in self.tallies.iter() {
@@ -263,10 +280,13 @@
     html! {
         h2 { "What is not known" }
         @if gaps.is_empty() {
-            p { "Every instance that served on this day has reported all of it." }
+            p { "No instance fell silent." }
         } @else {
             ul { @for gap in gaps { li { (gap) } } }
         }
+        @if let Some(reach) = data.reach() {
+            p { (reach) }
+        }
     }
 }
 
