--- a/agaterouted/tests/calls.rs
+++ b/agaterouted/tests/calls.rs
@@ -4,7 +4,7 @@
 
 use agatestand::platform;
 use agatestand::service::{Control, ServiceOptions};
-use bed::{Bed, Caller, StreamEnd, eventually, steady};
+use bed::{Bed, Caller, StreamEnd, eventually, eventually_some, steady};
 
 async fn two_daemons() -> Bed {
     let services = [ServiceOptions::default(), ServiceOptions::default()];
@@ -150,3 +150,52 @@
     .await;
     assert_eq!(executions(&bed, "yew", "a"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_paused() {
+    let bed = two_daemons().await;
+    for service in &bed.services {
+        service.control(&Control::Slow { ms: 300 });
+    }
+    let caller = Caller::new(&bed.daemons[0].listen, "yew");
+    let pending = tokio::spawn(async move { caller.order("a", "wire").await });
+    eventually("the key is claimed", async || bed.platform.counts().rows > 0).await;
+    bed.daemons[0].signal("-STOP");
+    let other = Caller::new(&bed.daemons[1].listen, "yew");
+    let again = other.order("a", "wire").await;
+    assert!(again.status == 409 || again.status == 504, "{again:?}");
+    assert_eq!(again.outcome(), "unknown");
+    bed.daemons[0].signal("-CONT");
+    let first = pending.await.expect("the caller");
+    if first.outcome() == "not_run" {
+        // The pause outlasted the time for a claim, so nothing was sent.
+        assert_eq!(executions(&bed, "yew", "a"), 0, "{first:?}");
+    } else {
+        assert_eq!(first.status, 200, "{first:?}");
+        assert_eq!(executions(&bed, "yew", "a"), 1);
+    }
+    let last = eventually_some("the key has its answer", async || {
+        let answer = other.order("a", "wire").await;
+        (answer.status == 200).then_some(answer)
+    })
+    .await;
+    assert!(first.outcome() == "not_run" || last.body == first.body, "the answer is replayed");
+    assert_eq!(executions(&bed, "yew", "a"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_then_killed() {
+    // The claim's answer is lost and its holder dies before it can tell: two failures together.
+    let mut bed = two_daemons().await;
+    bed.platform.control(platform::Control::LoseAnswers { count: 100 });
+    let caller = Caller::new(&bed.daemons[0].listen, "yew");
+    let pending = tokio::spawn(async move { caller.order("a", "wire").await });
+    eventually("the key is claimed", async || bed.platform.counts().rows > 0).await;
+    bed.daemons[0].kill();
+    let _ = pending.await;
+    bed.platform.control(platform::Control::LoseAnswers { count: 0 });
+    let other = Caller::new(&bed.daemons[1].listen, "yew");
+    let again = other.order("a", "wire").await;
+    assert_ne!(again.outcome(), "not_run", "nobody can say that: {again:?}");
+    assert!(executions(&bed, "yew", "a") <= 1);
+}
