Write a claim directly when the one that batches its shard is silent

Cause: while the instance that batches a shard was paused, claims of that shard were refused for up to the time after which a peer counts as gone (holder_paused). Change: after half of its time a claim is written by the instance that wants it; conditions keep that safe. The test waits for the claim's own row and accepts each true outcome of a pause.

--- a/agateroute_core/src/ledger.rs
+++ b/agateroute_core/src/ledger.rs
@@ -22,6 +22,9 @@
 pub const TRANSACTION_MOST: usize = 50;
 /// The pause after a transaction that failed, in milliseconds.
 const FAILED_PAUSE_MS: Millis = 100;
+/// How long the instance that batches a shard may be silent before a claim is written without it, in
+/// milliseconds; half of the time of the claim where that is less.
+const DIRECT_MS: Millis = 1_000;
 /// The most claims that wait for one shard; more are answered as unavailable.
 const WAITING_MOST: usize = 10_000;
 
@@ -70,6 +73,8 @@
         pub claim: Claim,
         /// The instance that was asked.
         pub owner: Id,
+        /// When this instance writes the claim itself, since the one that was asked does not answer.
+        pub direct: Millis,
         /// When this instance gives up.
         pub deadline: Millis,
     }
@@ -121,7 +126,8 @@
     pub(crate) fn want_claim(&mut self, claim: Claim) {
         let owner = self.shard_owner(&claim.row);
         let deadline = self.now + u64::from(claim.wait_ms);
-        let wanted = Wanted { claim: claim.clone(), owner, deadline };
+        let direct = self.now + (u64::from(claim.wait_ms) / 2).min(DIRECT_MS);
+        let wanted = Wanted { claim: claim.clone(), owner, direct, deadline };
         self.ledger.wanted.insert(claim.request, wanted);
         self.send(owner, Body::Claim(claim));
     }
@@ -236,6 +242,7 @@
             let outcome = ClaimOutcome::Unavailable;
             self.effects.push(Effect::Claimed { request, outcome, record: String::new() });
         }
+        self.write_direct();
         let shards: Vec<u64> = self.ledger.shards.keys().copied().collect();
         for number in shards {
             self.expire_claims(number);
@@ -243,6 +250,26 @@
         }
     }
 
+    /// Writes claims itself whose shard's owner does not answer. Two instances that write the same
+    /// claim do no harm, since its attempt names it.
+    fn write_direct(&mut self) {
+        let (now, me) = (self.now, self.membership.me);
+        let silent: Vec<Claim> = self
+            .ledger
+            .wanted
+            .iter()
+            .filter(|(_, w)| w.direct <= now && w.owner != me)
+            .map(|(_, w)| w.claim.clone())
+            .collect();
+        for mut claim in silent {
+            if let Some(wanted) = self.ledger.wanted.get_mut(&claim.request) {
+                wanted.owner = me;
+                claim.wait_ms = wanted.deadline.saturating_sub(now) as u32;
+            }
+            self.queue_claim(me, claim);
+        }
+    }
+
     /// Sends claims again whose shard has a new owner. Repeating a claim is harmless, since its
     /// attempt names it.
     pub(crate) fn follow_shards(&mut self) {
--- a/agatestand/src/platform.rs
+++ b/agatestand/src/platform.rs
@@ -130,6 +130,11 @@
         self.lock().counts
     }
 
+    /// The rows in partitions whose names start with a text.
+    pub fn rows(&self, start: &str) -> usize {
+        self.lock().rows.iter().filter(|((p, _), _)| p.starts_with(start)).count()
+    }
+
     /// Carries out a failure or change.
     pub fn control(&self, control: Control) {
         let mut state = self.lock();
