--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -63,7 +63,22 @@
     stop
 done
 for engines in 12 300 3300; do
-    start 2 10 $engines 19
+    start 2 10 $engines 12
     row "$engines backend servers, none listening"
     stop
 done
+# Requests: the fleet of examples/huon.yaml runs beside five instances.
+for rate in 0 20 40 80; do
+    start 5 10 12 1 examples/huon.yaml
+    "$bin/agatestand" fleet --step 4000 --step-each 100 --median 150 --deviation 1.0 examples/huon.yaml &
+    all+=($!)
+    sleep 2
+    targets=()
+    for i in 1 2 3 4 5; do targets+=(--target "127.0.0.1:$((21000 + i))"); done
+    "$bin/agatestand" compare --alone --document examples/huon.yaml "${targets[@]}" --rate $rate \
+        --seconds 12 steady >/dev/null &
+    sleep 3
+    row "$rate generations/s and 30 calls/s, 5 instances"
+    wait $! || true
+    stop
+done
