--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -113,7 +113,8 @@
             priority,
             prefix,
         };
-        let opened = Generation::open(shell, &server, &order, &granted).await;
+        let opened =
+            Generation::open(shell, &server, &order, &account.subject.request, &granted).await;
         end_span(&granted, "used");
         match opened {
             Ok(generation) => match answer(generation, permit, account, &asked).await {
--- a/agaterouted/src/stream.rs
+++ b/agaterouted/src/stream.rs
@@ -58,6 +58,7 @@
 #[derive(Debug)]
 pub struct Generation {
     shell: Arc<Shell>,
+    request: Arc<str>,
     server: ServerRef,
     http: HttpClient,
     relay: Relay,
@@ -86,6 +87,7 @@
         shell: &Arc<Shell>,
         server: &ServerRef,
         order: &StartOrder<'_>,
+        request_id: &Arc<str>,
         parent: &Context,
     ) -> Result<Generation, OpenError> {
         let in_force = shell.in_force();
@@ -129,6 +131,7 @@
         }
         Ok(Generation {
             shell: shell.clone(),
+            request: request_id.clone(),
             server: server.clone(),
             http,
             relay: Relay::new(order.generation, routing.resumes),
@@ -245,6 +248,7 @@
     async fn resume(&mut self, from: u64) -> bool {
         self.shell.telemetry.resumes.add(1, &[]);
         spdlog::warn!("link_cut", kv: {
+            request: = &*self.request,
             server: = &*self.server.name,
             generation: = self.relay.generation(),
             index = from,
--- a/agaterouted/tests/bed/mod.rs
+++ b/agaterouted/tests/bed/mod.rs
@@ -47,6 +47,8 @@
     pub platform_address: SocketAddr,
     pub platform_link: FaultProxy,
     pub document: Value,
+    /// The telemetry section of the settings.
+    pub telemetry: Value,
     pub daemons: Vec<Daemon>,
     pub cancel: CancellationToken,
     directory: PathBuf,
@@ -103,6 +105,7 @@
             platform_address,
             platform_link: platform_link.expect("a proxy"),
             document: json!({}),
+            telemetry: json!({}),
             daemons: Vec::new(),
             cancel,
             directory,
@@ -217,7 +220,7 @@
         let mut settings = json!({
             "instance": name, "zone": "a", "listen": "127.0.0.1:0", "peer": "127.0.0.1:0",
             "ops": "127.0.0.1:0", "peers": peers, "workers": 2,
-            "document": self.document_file(),
+            "document": self.document_file(), "telemetry": self.telemetry,
         });
         if platform {
             settings["platform"] = json!({"table": address, "objects": address,
--- a/agatestand/src/args.rs
+++ b/agatestand/src/args.rs
@@ -214,6 +214,12 @@
     /// What each generation adds to a step, in microseconds
     #[bpaf(long, argument("US"), fallback(100), display_fallback)]
     pub step_each: u64,
+    /// The time of a call of a plain service, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(5), display_fallback)]
+    pub service_time: u64,
+    /// The calls that a plain service works on at once
+    #[bpaf(long, argument("N"), fallback(16), display_fallback)]
+    pub service_workers: usize,
     /// The age of load reports, in milliseconds
     #[bpaf(long, argument("MS"), fallback(500), display_fallback)]
     pub lag: u64,
--- a/agatestand/src/cases.rs
+++ b/agatestand/src/cases.rs
@@ -27,6 +27,8 @@
 const QUOTE_SHARE: f64 = 0.25;
 /// Plain calls in a second, of all members together.
 const CALL_RATE: f64 = 30.0;
+/// Plain calls in a second in a flood of urgent work where no urgent generations are declared.
+const CALL_FLOOD_RATE: f64 = 1_200.0;
 
 impl Case {
     /// Finds a case by its name.
@@ -55,6 +57,11 @@
     pub fn spec(self, document: &Document, rate: f64, seconds: f64, seed: u64) -> LoadSpec {
         let owed: f64 = document.members.iter().map(|m| f64::from(m.share)).sum();
         let count = document.members.len();
+        let urgent_generations = document
+            .models
+            .iter()
+            .flat_map(|m| &m.kinds)
+            .any(|k| document.rank_index(&k.rank) == Some(0));
         let mut flows = Vec::new();
         for (i, member) in document.members.iter().enumerate() {
             let part = f64::from(member.share) / owed;
@@ -80,7 +87,12 @@
             let quotes = rate * part * QUOTE_SHARE * urgent;
             flows.extend(generation(document, &base, false, drafts));
             flows.extend(generation(document, &base, true, quotes));
-            flows.extend(call(document, &base, CALL_RATE * part));
+            let calls = if self == Case::UrgentFlood && !urgent_generations {
+                CALL_FLOOD_RATE
+            } else {
+                CALL_RATE
+            };
+            flows.extend(call(document, &base, calls * part));
         }
         LoadSpec { seed, seconds, flows }
     }
--- a/agatestand/src/fleet.rs
+++ b/agatestand/src/fleet.rs
@@ -100,7 +100,8 @@
         };
         tasks.spawn(Engine::new(options).run(listener, cancel));
     } else {
-        let options = ServiceOptions { fenced, ..ServiceOptions::default() };
+        let time = Duration::from_millis(flags.service_time);
+        let options = ServiceOptions { time, workers: flags.service_workers, fenced };
         tasks.spawn(Service::new(options).run(listener, cancel));
     }
 }
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -10,7 +10,7 @@
 work=$(mktemp -d)
 pids=()
 trap 'kill "${pids[@]}" 2>/dev/null || true; wait 2>/dev/null || true; rm -rf "$work"' EXIT
-"$bin/agatestand" fleet --step 4000 --step-each 100 --median 150 --deviation 1.0 "$document" & pids+=($!)
+"$bin/agatestand" fleet --step 4000 --step-each 100 --median 150 --deviation 1.0 ${FLEET:-} "$document" & pids+=($!)
 targets=()
 peers=""
 for i in $(seq 1 "$instances"); do
