Leave the time of the answer when a plain call waits

Change: a desk keeps back the time that an answer usually takes, and denies at once what can no longer come in time.

--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -17,8 +17,8 @@
 
 /// How long a desk that has no load report admits cautiously, in milliseconds.
 const WARM_UP_MS: Millis = 1_000;
-/// How long an ask is kept beyond its deadline before the desk drops it, in milliseconds.
-const OVERDUE_MS: Millis = 1_000;
+/// When a request that waited in vain should be sent again, in milliseconds.
+const OVERDUE_RETRY_MS: u32 = 1_000;
 /// The age after which a load report no longer counts, in milliseconds.
 const REPORT_OLD_MS: Millis = 5_000;
 /// The most samples of the desk's own account that are kept to compare with lagging reports.
@@ -190,7 +190,7 @@
             return;
         }
         self.lift(&ask);
-        let deadline = around.now + u64::from(ask.wait_ms);
+        let deadline = around.now + self.patience(&ask);
         self.waiting.push(Waiting { peer, ask, deadline, since: around.now });
         self.pump(around, out);
     }
@@ -211,7 +211,7 @@
         let interval = self.interval?;
         let ahead = admission::ahead(self, ask, around);
         let predicted = interval * ahead;
-        let wait = f64::from(ask.wait_ms);
+        let wait = self.patience(ask) as f64;
         if predicted <= wait * PREDICTION_SLACK {
             return None;
         }
@@ -219,6 +219,15 @@
         Some((self.deny_reason(ask, around), retry_ms))
     }
 
+    /// How long an ask may wait so that its answer still comes in time. For plain calls the target is the
+    /// whole answer, so the time that an answer usually takes has to be left.
+    fn patience(&self, ask: &Ask) -> Millis {
+        match self.capacity {
+            Capacity::Engine { .. } => u64::from(ask.wait_ms),
+            Capacity::Slots(_) => u64::from(ask.wait_ms).saturating_sub(self.limit.typical_ms()),
+        }
+    }
+
     fn deny_reason(&self, ask: &Ask, around: &Surroundings<'_>) -> DenyReason {
         if admission::over_share(self, ask, around) {
             DenyReason::OverShare
@@ -406,7 +415,7 @@
     /// Drops what is overdue and gives permits that time has made room for.
     pub fn tick(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
         let now = around.now;
-        self.waiting.retain(|w| w.deadline + OVERDUE_MS > now);
+        self.deny_overdue(around, out);
         self.counters.fade(now);
         let (waiting, running) = (&self.waiting, &self.running);
         self.counters.forget(COUNTERS_MOST, |rank, member| {
@@ -420,6 +429,17 @@
         self.pump(around, out);
     }
 
+    /// Denies at once what can no longer meet its target.
+    fn deny_overdue(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (late, kept) = waiting.into_iter().partition(|w: &Waiting| w.deadline <= around.now);
+        self.waiting = kept;
+        for waiting in late {
+            let reason = self.deny_reason(&waiting.ask, around);
+            out.push((waiting.peer, self.deny(&waiting.ask, reason, OVERDUE_RETRY_MS)));
+        }
+    }
+
     fn sample(&mut self, now: Millis) {
         if self.samples.len() >= SAMPLES_MOST {
             self.samples.remove(0);
--- a/agateroute_core/src/slots.rs
+++ b/agateroute_core/src/slots.rs
@@ -11,6 +11,8 @@
 const SLACK_MS: f64 = 5.0;
 /// The factor by which a crowded limit shrinks.
 const SHRINK_FACTOR: f64 = 0.9;
+/// The weight of the newest answer in the usual time.
+const TYPICAL_WEIGHT: f64 = 0.1;
 /// The growth of the shortest time with each answer, which lets it follow a slower server.
 const FORGET_FACTOR: f64 = 1.002;
 
@@ -20,6 +22,7 @@
     limit: f64,
     most: f64,
     shortest: Option<f64>,
+    typical: f64,
     shrunk: Millis,
 }
 
@@ -27,7 +30,7 @@
     /// A limit that starts at half of the most that is declared.
     pub fn new(most: u32) -> Limit {
         let most = f64::from(most.max(1));
-        Limit { limit: (most / 2.0).max(1.0), most, shortest: None, shrunk: 0 }
+        Limit { limit: (most / 2.0).max(1.0), most, shortest: None, typical: 0.0, shrunk: 0 }
     }
 
     /// The calls allowed at once.
@@ -35,9 +38,15 @@
         self.limit as usize
     }
 
+    /// How long an answer usually takes, in milliseconds.
+    pub fn typical_ms(&self) -> u64 {
+        self.typical as u64
+    }
+
     /// Learns from an answer that took `took_ms` while `running` calls were in progress.
     pub fn learn(&mut self, now: Millis, took_ms: u32, running: usize) {
         let took = f64::from(took_ms);
+        self.typical += TYPICAL_WEIGHT * (took - self.typical);
         let shortest = self.shortest.map_or(took, |s| (s * FORGET_FACTOR).min(took));
         self.shortest = Some(shortest);
         if took > shortest * CROWDED_FACTOR + SLACK_MS {
