--- a/agatectl/src/calls.rs
+++ b/agatectl/src/calls.rs
@@ -2,8 +2,8 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use agateroute_platform::calls::{Answer, CallRecord, CallState, partitions, settled_tag};
-use agateroute_platform::table::{Condition, Outcome, Row, Table, Write};
+use agateroute_storage::calls::{Answer, CallRecord, CallState, partitions, settled_tag};
+use agateroute_storage::table::{Condition, Outcome, Row, Table, Write};
 use http::{HeaderMap, StatusCode};
 use serde_json::Value;
 
@@ -56,9 +56,9 @@
         return;
     }
     println!(
-        "row={name} state={} member={:?} service={:?} kind={:?} key={:?} instance={:?} at={}",
+        "row={name} state={} organisation={:?} service={:?} kind={:?} key={:?} instance={:?} at={}",
         record.state,
-        record.member,
+        record.organisation,
         record.service,
         record.kind,
         record.key,
--- a/agatectl/src/config.rs
+++ b/agatectl/src/config.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use agateroute_config::{Document, parse_document, parse_settings, reference, schema};
-use agateroute_platform::Client;
-use agateroute_platform::config::{Applied, ConfigStore, PartCache, Version};
-use agateroute_platform::objects::{Objects, S3};
-use agateroute_platform::table::{DYNAMO, Table};
+use agateroute_storage::Client;
+use agateroute_storage::config::{Applied, ConfigStore, PartCache, Version};
+use agateroute_storage::objects::{Objects, S3};
+use agateroute_storage::table::{DYNAMO, Table};
 use similar::TextDiff;
 
 use crate::args::{ConfigCommand, PlatformFlags};
@@ -103,7 +103,7 @@
 /// The document as YAML in the form in which it comes back from the object store.
 fn normal(document: &Document) -> Result<String, CtlError> {
     let mut document = document.clone();
-    document.members.sort_by(|a, b| a.name.cmp(&b.name));
+    document.organisations.sort_by(|a, b| a.name.cmp(&b.name));
     document.servers.sort_by(|a, b| a.name.cmp(&b.name));
     to_yaml(&document)
 }
--- a/agatectl/src/error.rs
+++ b/agatectl/src/error.rs
@@ -1,7 +1,7 @@
 //! Errors of the tool.
 
 use agateroute_config::ConfigError;
-use agateroute_platform::PlatformError;
+use agateroute_storage::PlatformError;
 
 /// Why a command failed.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
--- a/agatectl/src/status.rs
+++ b/agatectl/src/status.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use agateroute_platform::Client;
-use agateroute_platform::http::request;
+use agateroute_storage::Client;
+use agateroute_storage::http::request;
 use serde_json::Value;
 
 use crate::error::CtlError;
--- a/agateroute_config/src/check.rs
+++ b/agateroute_config/src/check.rs
@@ -125,7 +125,7 @@
                 problems.push(Problem {
                     position: tree.locate(&format!("{path}/{field}")),
                     message: format!("field {field:?} does not exist in {place}"),
-                    remedy: "remove it or correct its name".to_owned(),
+                    remedy: unknown_field_remedy(field),
                 });
             }
         }
@@ -142,6 +142,17 @@
     }
 }
 
+/// Fields that were renamed: the former name and the present one.
+const RENAMED: [(&str, &str); 2] =
+    [("members", "organisations"), ("member_requests", "organisation_requests")];
+
+fn unknown_field_remedy(field: &str) -> String {
+    match RENAMED.iter().find(|(former, _)| *former == field) {
+        Some((_, present)) => format!("it was renamed, write {present}"),
+        None => "remove it or correct its name".to_owned(),
+    }
+}
+
 /// Collects problems with the positions of the fields that they concern.
 struct Checker<'a> {
     tree: &'a Node,
@@ -185,12 +196,16 @@
     c.unique("/models", "model", document.models.iter().map(|m| m.name.as_str()));
     c.unique("/services", "service", document.services.iter().map(|s| s.name.as_str()));
     c.unique("/servers", "backend server", document.servers.iter().map(|s| s.name.as_str()));
-    c.unique("/members", "member", document.members.iter().map(|m| m.name.as_str()));
+    c.unique(
+        "/organisations",
+        "organisation",
+        document.organisations.iter().map(|m| m.name.as_str()),
+    );
     check_floors(c, document);
     check_models(c, document);
     check_services(c, document);
     check_servers(c, document);
-    check_members(c, document);
+    check_organisations(c, document);
     checker.problems
 }
 
@@ -269,33 +284,37 @@
     }
 }
 
-fn check_members(c: &mut Checker<'_>, document: &Document) {
+fn check_organisations(c: &mut Checker<'_>, document: &Document) {
     let mut digests: Vec<&str> = Vec::new();
-    for (i, member) in document.members.iter().enumerate() {
-        let at = format!("/members/{i}");
-        for (j, model) in member.models.iter().enumerate() {
+    for (i, organisation) in document.organisations.iter().enumerate() {
+        let at = format!("/organisations/{i}");
+        for (j, model) in organisation.models.iter().enumerate() {
             if document.model(model).is_none() {
                 let message = format!(
                     "model {model:?} granted to {:?} does not exist in models",
-                    member.name
+                    organisation.name
                 );
                 c.report(&format!("{at}/models/{j}"), message, "declare the model or drop it");
             }
         }
-        for (j, service) in member.services.iter().enumerate() {
+        for (j, service) in organisation.services.iter().enumerate() {
             if document.service(service).is_none() {
                 let message = format!(
                     "service {service:?} granted to {:?} does not exist in services",
-                    member.name
+                    organisation.name
                 );
                 c.report(&format!("{at}/services/{j}"), message, "declare the service or drop it");
             }
         }
-        for (j, key) in member.keys.iter().enumerate() {
+        for (j, key) in organisation.keys.iter().enumerate() {
             match digests.binary_search(&key.sha256.as_str()) {
                 Ok(_) => {
-                    let message = format!("a key of {:?} is declared twice", member.name);
-                    c.report(&format!("{at}/keys/{j}"), message, "give each member its own keys");
+                    let message = format!("a key of {:?} is declared twice", organisation.name);
+                    c.report(
+                        &format!("{at}/keys/{j}"),
+                        message,
+                        "give each organisation its own keys",
+                    );
                 }
                 Err(slot) => digests.insert(slot, &key.sha256),
             }
--- a/agateroute_config/src/document.rs
+++ b/agateroute_config/src/document.rs
@@ -1,8 +1,8 @@
 //! The root of the declared document.
 
 use crate::limits::Limits;
-use crate::member::Member;
 use crate::model::Model;
+use crate::organisation::Organisation;
 use crate::rank::Rank;
 use crate::routing::Routing;
 use crate::server::Server;
@@ -17,18 +17,18 @@
         /// The ranks of work, the most urgent first.
         #[schemars(length(min = 1))]
         pub ranks: Vec<Rank>,
-        /// The models that members may ask for.
+        /// The models that organisations may ask for.
         #[serde(default)]
         pub models: Vec<Model>,
-        /// The plain services that members may call.
+        /// The plain services that organisations may call.
         #[serde(default)]
         pub services: Vec<Service>,
         /// The backend servers that run models and services.
         #[serde(default)]
         pub servers: Vec<Server>,
-        /// The members that may call.
+        /// The organisations that may call.
         #[serde(default)]
-        pub members: Vec<Member>,
+        pub organisations: Vec<Organisation>,
         /// The limits on what a caller may send.
         #[serde(default)]
         pub limits: Limits,
@@ -59,8 +59,8 @@
         self.servers.iter().find(|s| s.name == name)
     }
 
-    /// Finds a member by name.
-    pub fn member(&self, name: &str) -> Option<&Member> {
-        self.members.iter().find(|m| m.name == name)
+    /// Finds an organisation by name.
+    pub fn organisation(&self, name: &str) -> Option<&Organisation> {
+        self.organisations.iter().find(|m| m.name == name)
     }
 }
--- a/agateroute_config/src/lib.rs
+++ b/agateroute_config/src/lib.rs
@@ -1,6 +1,6 @@
 //! The declared document, the instance settings, and their checks.
 //!
-//! The document says what the deployment serves and what each member is owed; see
+//! The document says what the deployment serves and what each organisation is owed; see
 //! `docs/CONFIGURATION.md`. Nothing here does I/O.
 
 #[macro_use]
@@ -10,8 +10,8 @@
 pub mod digest;
 pub mod document;
 pub mod limits;
-pub mod member;
 pub mod model;
+pub mod organisation;
 pub mod rank;
 pub mod reference;
 pub mod routing;
--- a/agateroute_config/src/limits.rs
+++ b/agateroute_config/src/limits.rs
@@ -19,9 +19,9 @@
         /// The longest idempotency key, in bytes.
         #[schemars(range(min = 16, max = 1024))]
         pub key_bytes: u64,
-        /// The most requests of one member that one instance holds at a time, waiting and running.
+        /// The most requests of one organisation that one instance holds at a time, waiting and running.
         #[schemars(range(min = 1))]
-        pub member_requests: u32,
+        pub organisation_requests: u32,
     }
 }
 
@@ -33,7 +33,7 @@
             header_bytes: 32 * 1024,
             body_ms: 10_000,
             key_bytes: 255,
-            member_requests: 4_096,
+            organisation_requests: 4_096,
         }
     }
 }
--- a/agateroute_config/src/model.rs
+++ b/agateroute_config/src/model.rs
@@ -1,7 +1,7 @@
 //! Models, their adapters and the request kinds that use them.
 
 section! {
-    /// A model that members may ask for by name.
+    /// A model that organisations may ask for by name.
     pub struct Model {
         /// The name that callers put into the `model` field.
         #[schemars(length(min = 1))]
--- a/agateroute_config/src/member.rs
+++ b/agateroute_config/src/organisation.rs
@@ -1,12 +1,12 @@
-//! Members, their keys and grants, and what each is owed.
+//! Organisations, their keys and grants, and what each is owed.
 
 section! {
-    /// A member of the deployment: an organisation that calls.
-    pub struct Member {
+    /// An organisation that calls the deployment.
+    pub struct Organisation {
         /// The name that logs, metrics and reports use.
         #[schemars(length(min = 1))]
         pub name: String,
-        /// The keys that name this member.
+        /// The keys that name this organisation.
         #[schemars(length(min = 1))]
         pub keys: Vec<Key>,
         /// The models that it may ask for.
@@ -15,7 +15,7 @@
         /// The plain services that it may call.
         #[serde(default)]
         pub services: Vec<String>,
-        /// What it is owed under load, relative to the other members.
+        /// What it is owed under load, relative to the other organisations.
         #[serde(default = "share")]
         #[schemars(range(min = 1))]
         pub share: u32,
--- a/agateroute_config/src/reference.rs
+++ b/agateroute_config/src/reference.rs
@@ -9,7 +9,7 @@
 const INTRODUCTION: &str = "\
 # Configuration
 
-The *document* declares what a deployment serves and what each member is owed. It is one YAML file
+The *document* declares what a deployment serves and what each organisation is owed. It is one YAML file
 kept under version control and brought into force by `agatectl config apply`. The *settings* are a
 small YAML file for each instance. `agatectl config check` reports every problem of either at once,
 with file, line, column and what to do. This page is written by `agatectl config reference`; a test
--- a/agateroute_config/tests/document.rs
+++ b/agateroute_config/tests/document.rs
@@ -34,7 +34,7 @@
 ranks:
   - {name: urgent, first_token_ms: 0, between_tokens_ms: 1, answer_ms: 1}
 surprise: 1
-members:
+organisations:
   - {name: yew, keys: [{sha256: nonsense}], shares: 2}
 ";
     let all = problems(text);
@@ -56,7 +56,7 @@
 servers:
   - {name: e, address: nowhere, zone: a, engine: {models: [verse], memory_tokens: 1}}
   - {name: e, address: '127.0.0.1:1', zone: a}
-members:
+organisations:
   - {name: yew, models: [verse], services: [orders], keys: [{sha256: 'KEY'}]}
   - {name: box, keys: [{sha256: 'KEY'}]}
 "
@@ -138,3 +138,10 @@
         "docs/CONFIGURATION.md is not current: write it with `agatectl config reference`"
     );
 }
+
+#[test]
+fn renamed_key() {
+    let text = "members: []\n";
+    let all = problems(text);
+    assert!(all.iter().any(|p| p.contains("write organisations")), "{all:?}");
+}
--- a/agateroute_core/src/admission.rs
+++ b/agateroute_core/src/admission.rs
@@ -8,7 +8,7 @@
 use crate::id::Id;
 use crate::memory::{self, Load};
 
-/// How far above its even part of the queue a member may be before it counts as asking for more
+/// How far above its even part of the queue an organisation may be before it counts as asking for more
 /// than it is owed.
 const OVER_SHARE_FACTOR: f64 = 2.0;
 
@@ -24,7 +24,7 @@
         if waiting.ask.rank != u32::from(rank) {
             continue;
         }
-        let counter = desk.counters.member(rank, waiting.ask.member);
+        let counter = desk.counters.organisation(rank, waiting.ask.organisation);
         if best.is_none_or(|(_, least)| counter < least) {
             best = Some((i, counter));
         }
@@ -66,7 +66,7 @@
         most: most_tokens(held.most),
         curve: around.estimator.curve(held.class).unwrap_or(&prior),
     });
-    let class = Class { model: ask.target, kind: ask.kind, member: ask.member };
+    let class = Class { model: ask.target, kind: ask.kind, organisation: ask.organisation };
     let added = Load {
         prompt: own_prompt(desk, ask.prompt, ask.prefix, ask, &desk.running),
         done: 0.0,
@@ -96,16 +96,16 @@
 }
 
 /// About how many requests get their permit before an ask that comes now: everything of more
-/// urgent ranks, and of its own rank as many for each other member as its own member has waiting,
+/// urgent ranks, and of its own rank as many for each other organisation as its own organisation has waiting,
 /// weighted by what they are owed.
 pub fn ahead(desk: &Desk, ask: &Ask, around: &Surroundings<'_>) -> f64 {
     let urgent = desk.waiting.iter().filter(|w| w.ask.rank < ask.rank).count() as f64;
-    let own = waiting_of(desk, ask.rank, ask.member) + 1.0;
-    let share = around.catalog.share(ask.member);
-    let mut others: Vec<Id> = same_rank(desk, ask.rank).map(|w| w.ask.member).collect();
+    let own = waiting_of(desk, ask.rank, ask.organisation) + 1.0;
+    let share = around.catalog.share(ask.organisation);
+    let mut others: Vec<Id> = same_rank(desk, ask.rank).map(|w| w.ask.organisation).collect();
     others.sort_unstable();
     others.dedup();
-    others.retain(|m| *m != ask.member);
+    others.retain(|m| *m != ask.organisation);
     let before = others.iter().map(|m| {
         let turns = own * around.catalog.share(*m) / share;
         waiting_of(desk, ask.rank, *m).min(turns)
@@ -113,25 +113,26 @@
     urgent + own + before.sum::<f64>()
 }
 
-/// Whether a member has far more waiting than the others for what it is owed.
+/// Whether an organisation has far more waiting than the others for what it is owed.
 pub fn over_share(desk: &Desk, ask: &Ask, around: &Surroundings<'_>) -> bool {
     let total = same_rank(desk, ask.rank).count() as f64;
-    let mut members: Vec<Id> = same_rank(desk, ask.rank).map(|w| w.ask.member).collect();
-    members.push(ask.member);
-    members.sort_unstable();
-    members.dedup();
-    if members.len() < 2 {
+    let mut organisations: Vec<Id> =
+        same_rank(desk, ask.rank).map(|w| w.ask.organisation).collect();
+    organisations.push(ask.organisation);
+    organisations.sort_unstable();
+    organisations.dedup();
+    if organisations.len() < 2 {
         return false;
     }
-    let owed: f64 = members.iter().map(|m| around.catalog.share(*m)).sum();
-    let even = total * around.catalog.share(ask.member) / owed;
-    waiting_of(desk, ask.rank, ask.member) > OVER_SHARE_FACTOR * even
+    let owed: f64 = organisations.iter().map(|m| around.catalog.share(*m)).sum();
+    let even = total * around.catalog.share(ask.organisation) / owed;
+    waiting_of(desk, ask.rank, ask.organisation) > OVER_SHARE_FACTOR * even
 }
 
 fn same_rank(desk: &Desk, rank: u32) -> impl Iterator<Item = &Waiting> {
     desk.waiting.iter().filter(move |w| w.ask.rank == rank)
 }
 
-fn waiting_of(desk: &Desk, rank: u32, member: Id) -> f64 {
-    same_rank(desk, rank).filter(|w| w.ask.member == member).count() as f64
+fn waiting_of(desk: &Desk, rank: u32, organisation: Id) -> f64 {
+    same_rank(desk, rank).filter(|w| w.ask.organisation == organisation).count() as f64
 }
--- a/agateroute_core/src/catalog.rs
+++ b/agateroute_core/src/catalog.rs
@@ -35,7 +35,7 @@
         pub servers: Table<Id, ServerInfo>,
         /// The backend servers of each model and plain service.
         pub targets: Table<Id, Vec<Id>>,
-        /// What each member is owed, relative to the others.
+        /// What each organisation is owed, relative to the others.
         pub shares: Table<Id, u32>,
         /// The ranks by falling urgency.
         pub ranks: Vec<RankInfo>,
@@ -84,7 +84,7 @@
         Catalog {
             servers: servers.collect(),
             targets: models.chain(services).collect(),
-            shares: document.members.iter().map(|m| (id(&m.name), m.share)).collect(),
+            shares: document.organisations.iter().map(|m| (id(&m.name), m.share)).collect(),
             ranks: ranks.collect(),
             document: document.clone(),
         }
@@ -95,9 +95,9 @@
         &self.document.routing
     }
 
-    /// What a member is owed. Members that are no longer declared count as owed the least.
-    pub fn share(&self, member: Id) -> f64 {
-        f64::from(self.shares.get(&member).copied().unwrap_or(1))
+    /// What an organisation is owed. Organisations that are no longer declared count as owed the least.
+    pub fn share(&self, organisation: Id) -> f64 {
+        f64::from(self.shares.get(&organisation).copied().unwrap_or(1))
     }
 }
 
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -23,7 +23,7 @@
 const REPORT_OLD_MS: Millis = 5_000;
 /// The most samples of the desk's own account that are kept to compare with lagging reports.
 const SAMPLES_MOST: usize = 64;
-/// The most members whose counters are kept while idle.
+/// The most organisations whose counters are kept while idle.
 const COUNTERS_MOST: usize = 4_096;
 /// The steps in which the deviations kept free follow each preemption, and each report without one.
 const DEVIATIONS_UP: f32 = 0.2;
@@ -197,11 +197,12 @@
 
     fn lift(&mut self, ask: &Ask) {
         let rank = ask.rank as u8;
-        let waits = self.waiting.iter().filter(|w| w.ask.rank == ask.rank).map(|w| w.ask.member);
-        let runs = self.running.iter().filter(|h| h.rank == rank).map(|h| h.class.member);
+        let waits =
+            self.waiting.iter().filter(|w| w.ask.rank == ask.rank).map(|w| w.ask.organisation);
+        let runs = self.running.iter().filter(|h| h.rank == rank).map(|h| h.class.organisation);
         let active: Vec<Id> = waits.chain(runs).collect();
-        if !active.contains(&ask.member) {
-            self.counters.lift(rank, ask.member, active.into_iter());
+        if !active.contains(&ask.organisation) {
+            self.counters.lift(rank, ask.organisation, active.into_iter());
         }
     }
 
@@ -251,8 +252,8 @@
         }
         if let Ok(at) = self.held_at(peer, request) {
             let held = self.running.remove(at);
-            let share = around.catalog.share(held.class.member);
-            self.counters.charge(held.rank, held.class.member, share, -held.charged);
+            let share = around.catalog.share(held.class.organisation);
+            self.counters.charge(held.rank, held.class.organisation, share, -held.charged);
         }
         self.pump(around, out);
     }
@@ -267,11 +268,16 @@
         let at = self.held_at(peer, release.request).ok()?;
         let running = self.running.len();
         let held = self.running.remove(at);
-        let share = around.catalog.share(held.class.member);
+        let share = around.catalog.share(held.class.organisation);
         match self.capacity {
             Capacity::Engine { .. } => {
                 let work = f64::from(held.prompt) + f64::from(release.tokens);
-                self.counters.charge(held.rank, held.class.member, share, work - held.charged);
+                self.counters.charge(
+                    held.rank,
+                    held.class.organisation,
+                    share,
+                    work - held.charged,
+                );
                 release.whole.then_some((held.class, release.tokens))
             }
             Capacity::Slots(_) => {
@@ -301,7 +307,11 @@
                 let held = Held {
                     peer,
                     request: hold.request,
-                    class: Class { model: hold.target, kind: hold.kind, member: hold.member },
+                    class: Class {
+                        model: hold.target,
+                        kind: hold.kind,
+                        organisation: hold.organisation,
+                    },
                     rank: hold.rank as u8,
                     prompt: hold.prompt,
                     tokens: hold.tokens,
@@ -418,9 +428,11 @@
         self.deny_overdue(around, out);
         self.counters.fade(now);
         let (waiting, running) = (&self.waiting, &self.running);
-        self.counters.forget(COUNTERS_MOST, |rank, member| {
-            waiting.iter().any(|w| w.ask.member == member && w.ask.rank == u32::from(rank))
-                || running.iter().any(|h| h.class.member == member && h.rank == rank)
+        self.counters.forget(COUNTERS_MOST, |rank, organisation| {
+            waiting
+                .iter()
+                .any(|w| w.ask.organisation == organisation && w.ask.rank == u32::from(rank))
+                || running.iter().any(|h| h.class.organisation == organisation && h.rank == rank)
         });
         self.sample(now);
         if self.waiting.is_empty() {
@@ -532,7 +544,7 @@
 
     fn permit(&mut self, waiting: Waiting, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
         let ask = waiting.ask;
-        let class = Class { model: ask.target, kind: ask.kind, member: ask.member };
+        let class = Class { model: ask.target, kind: ask.kind, organisation: ask.organisation };
         let charged = match self.capacity {
             Capacity::Engine { .. } => {
                 f64::from(ask.prompt) + admission::expected(around.estimator, class, ask.most)
@@ -540,7 +552,12 @@
             Capacity::Slots(_) => 1.0,
         };
         let rank = ask.rank as u8;
-        self.counters.charge(rank, ask.member, around.catalog.share(ask.member), charged);
+        self.counters.charge(
+            rank,
+            ask.organisation,
+            around.catalog.share(ask.organisation),
+            charged,
+        );
         let held = Held {
             peer: waiting.peer,
             request: ask.request,
--- a/agateroute_core/src/effect.rs
+++ b/agateroute_core/src/effect.rs
@@ -11,7 +11,7 @@
     pub enum Refusal {
         /// The target can not be met.
         NoRoom,
-        /// The member asks for more than it is owed.
+        /// The organisation asks for more than it is owed.
         OverShare,
         /// No backend server takes new work for the target.
         NoServer,
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -134,7 +134,7 @@
         let ask = Ask {
             request,
             server,
-            member: ticket.member,
+            organisation: ticket.organisation,
             target: ticket.target,
             kind: ticket.kind,
             rank: u32::from(ticket.rank),
@@ -430,7 +430,7 @@
         Hold {
             request: self.ticket.request,
             server: self.server,
-            member: self.ticket.member,
+            organisation: self.ticket.organisation,
             target: self.ticket.target,
             kind: self.ticket.kind,
             rank: u32::from(self.ticket.rank),
--- a/agateroute_core/src/estimate.rs
+++ b/agateroute_core/src/estimate.rs
@@ -1,6 +1,6 @@
 //! Estimates how many tokens a generation still produces.
 //!
-//! Each class (model, member, kind) has a decaying histogram of output lengths. While it has few
+//! Each class (model, organisation, kind) has a decaying histogram of output lengths. While it has few
 //! samples, it shrinks towards (model, kind) and then the model. See `docs/DESIGN.md`, "Unknown
 //! lengths".
 
@@ -15,7 +15,7 @@
 const PARENT_SAMPLES: f32 = 16.0;
 /// Samples after which a histogram is halved, so that it follows changes.
 const HALVE_SAMPLES: f32 = 512.0;
-/// The most classes that are kept; beyond it members share the class of their kind.
+/// The most classes that are kept; beyond it organisations share the class of their kind.
 const CLASSES_MOST: usize = 8_192;
 /// Samples between two refreshes of a cached curve.
 const REFRESH_SAMPLES: u32 = 8;
@@ -25,14 +25,14 @@
 const PRIOR_DEVIATION: f32 = 2.0;
 
 value! {
-    /// What generations are grouped by. Zero stands for all members or all kinds.
+    /// What generations are grouped by. Zero stands for all organisations or all kinds.
     pub struct Class {
         /// The model.
         pub model: Id,
         /// The request kind, or 0.
         pub kind: Id,
-        /// The member, or 0.
-        pub member: Id,
+        /// The organisation, or 0.
+        pub organisation: Id,
     }
 }
 
@@ -144,8 +144,8 @@
 impl Estimator {
     /// Learns the length of a generation that ended by itself.
     pub fn learn(&mut self, class: Class, length: u32) {
-        let whole = Class { kind: 0, member: 0, ..class };
-        let kind = Class { member: 0, ..class };
+        let whole = Class { kind: 0, organisation: 0, ..class };
+        let kind = Class { organisation: 0, ..class };
         let mut parent = Curve::prior();
         for level in [whole, kind, class] {
             if !self.classes.contains(&level) && self.classes.len() >= CLASSES_MOST {
@@ -159,8 +159,8 @@
 
     /// The curve of a class, or of the nearest class above it that is known.
     pub fn curve(&self, class: Class) -> Option<&Curve> {
-        let kind = Class { member: 0, ..class };
-        let whole = Class { kind: 0, member: 0, ..class };
+        let kind = Class { organisation: 0, ..class };
+        let whole = Class { kind: 0, organisation: 0, ..class };
         [class, kind, whole].iter().find_map(|c| self.classes.get(c)).map(|h| &h.curve)
     }
 
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -18,8 +18,8 @@
     pub struct Ticket {
         /// The request.
         pub request: RequestId,
-        /// The member that asks.
-        pub member: Id,
+        /// The organisation that asks.
+        pub organisation: Id,
         /// The model or plain service.
         pub target: Id,
         /// The request kind.
@@ -34,7 +34,7 @@
         pub prefix: u64,
         /// The tokens of that start.
         pub shared: u32,
-        /// A hash of member, kind and body, which tells a repeated request.
+        /// A hash of organisation, kind and body, which tells a repeated request.
         pub fingerprint: u64,
         /// When the target can no longer be met.
         pub deadline: Millis,
--- a/agateroute_core/src/fairness.rs
+++ b/agateroute_core/src/fairness.rs
@@ -1,6 +1,6 @@
 //! Weighted virtual token counters: who goes next inside a rank, and which rank goes next.
 //!
-//! Each member's counter grows with the tokens it was given, divided by what it is owed; the member
+//! Each organisation's counter grows with the tokens it was given, divided by what it is owed; the organisation
 //! with the lowest counter goes next. A rank with a declared floor goes first while it has had less
 //! than its floor lately. See `docs/DESIGN.md`, "Who goes next".
 
@@ -13,20 +13,20 @@
 /// The counters of one backend server.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Counters {
-    members: Table<(u8, Id), f64>,
+    organisations: Table<(u8, Id), f64>,
     ranks: Vec<f64>,
     faded: Millis,
 }
 
 impl Counters {
-    /// The counter of a member in a rank.
-    pub fn member(&self, rank: u8, member: Id) -> f64 {
-        self.members.get(&(rank, member)).copied().unwrap_or(0.0)
+    /// The counter of an organisation in a rank.
+    pub fn organisation(&self, rank: u8, organisation: Id) -> f64 {
+        self.organisations.get(&(rank, organisation)).copied().unwrap_or(0.0)
     }
 
-    /// Charges work to a member and its rank. Negative work returns what was charged too much.
-    pub fn charge(&mut self, rank: u8, member: Id, share: f64, work: f64) {
-        *self.members.entry((rank, member), || 0.0) += work / share.max(1.0);
+    /// Charges work to an organisation and its rank. Negative work returns what was charged too much.
+    pub fn charge(&mut self, rank: u8, organisation: Id, share: f64, work: f64) {
+        *self.organisations.entry((rank, organisation), || 0.0) += work / share.max(1.0);
         let rank = usize::from(rank);
         if self.ranks.len() <= rank {
             self.ranks.resize(rank + 1, 0.0);
@@ -34,17 +34,17 @@
         self.ranks[rank] = (self.ranks[rank] + work).max(0.0);
     }
 
-    /// Lifts the counter of a member that returns from idleness, so that it can not spend what it
-    /// did not use. `active` are the members that wait or run in the same rank.
-    pub fn lift(&mut self, rank: u8, member: Id, active: impl Iterator<Item = Id>) {
-        let least = active.map(|m| self.member(rank, m)).reduce(f64::min);
+    /// Lifts the counter of an organisation that returns from idleness, so that it can not spend what it
+    /// did not use. `active` are the organisations that wait or run in the same rank.
+    pub fn lift(&mut self, rank: u8, organisation: Id, active: impl Iterator<Item = Id>) {
+        let least = active.map(|m| self.organisation(rank, m)).reduce(f64::min);
         if let Some(least) = least {
-            let counter = self.members.entry((rank, member), || 0.0);
+            let counter = self.organisations.entry((rank, organisation), || 0.0);
             *counter = counter.max(least);
         }
     }
 
-    /// Fades what the ranks were given, and forgets members that neither wait nor run.
+    /// Fades what the ranks were given, and forgets organisations that neither wait nor run.
     pub fn fade(&mut self, now: Millis) {
         let passed = now.saturating_sub(self.faded) as f64;
         let factor = (-passed / RANK_MEMORY_MS).exp();
@@ -52,10 +52,10 @@
         self.faded = now;
     }
 
-    /// Forgets the counters of idle members once there are many, keeping those in `active`.
+    /// Forgets the counters of idle organisations once there are many, keeping those in `active`.
     pub fn forget(&mut self, most: usize, active: impl Fn(u8, Id) -> bool) {
-        if self.members.len() > most {
-            self.members.retain(|(rank, member), _| active(*rank, *member));
+        if self.organisations.len() > most {
+            self.organisations.retain(|(rank, organisation), _| active(*rank, *organisation));
         }
     }
 
--- a/agateroute_core/src/tally.rs
+++ b/agateroute_core/src/tally.rs
@@ -1,4 +1,4 @@
-//! Tallies of outcomes by day, member, kind and rank.
+//! Tallies of outcomes by day, organisation, kind and rank.
 //!
 //! An instance counts for itself from its start on and writes its tallies under its name and start
 //! number, each time in place of the former row, so that a repeated write never counts twice. See
@@ -21,8 +21,8 @@
 pub struct TallyKey {
     /// The day, as YYYY-MM-DD in UTC.
     pub day: String,
-    /// The member.
-    pub member: String,
+    /// The organisation.
+    pub organisation: String,
     /// The request kind.
     pub kind: String,
     /// The rank.
--- a/agateroute_core/tests/estimate.rs
+++ b/agateroute_core/tests/estimate.rs
@@ -8,7 +8,7 @@
 
 /// Long enough that the iterations decide when a test ends, on any machine.
 const TEST_TIME: Duration = Duration::from_secs(600);
-const CLASS: Class = Class { model: 1, kind: 2, member: 3 };
+const CLASS: Class = Class { model: 1, kind: 2, organisation: 3 };
 
 #[test]
 fn learns_lengths() {
@@ -28,12 +28,12 @@
     for _ in 0..300 {
         estimator.learn(CLASS, 1_000);
     }
-    let newcomer = Class { member: 4, ..CLASS };
+    let newcomer = Class { organisation: 4, ..CLASS };
     estimator.learn(newcomer, 10);
     let curve = estimator.curve(newcomer).expect("a curve");
-    assert!(curve.at_least(500.0) > 0.5, "one short answer does not make a short member");
-    let stranger = Class { member: 5, ..CLASS };
-    assert_eq!(estimator.curve(stranger), estimator.curve(Class { member: 0, ..CLASS }));
+    assert!(curve.at_least(500.0) > 0.5, "one short answer does not make a short organisation");
+    let stranger = Class { organisation: 5, ..CLASS };
+    assert_eq!(estimator.curve(stranger), estimator.curve(Class { organisation: 0, ..CLASS }));
 }
 
 #[test]
@@ -72,8 +72,8 @@
 #[test]
 fn classes_bounded() {
     let mut estimator = Estimator::default();
-    for member in 0..20_000 {
-        estimator.learn(Class { member, ..CLASS }, 100);
+    for organisation in 0..20_000 {
+        estimator.learn(Class { organisation, ..CLASS }, 100);
     }
     assert!(estimator.classes() <= 8_192);
 }
--- a/agateroute_core/tests/properties.rs
+++ b/agateroute_core/tests/properties.rs
@@ -16,7 +16,7 @@
 
 #[derive(Debug, TypeGenerator)]
 enum Input {
-    Arrive { on: u8, member: u8, urgent: bool, poison: bool },
+    Arrive { on: u8, organisation: u8, urgent: bool, poison: bool },
     Whole { on: u8, pick: u8, tokens: u8 },
     Fail { on: u8, pick: u8, how: u8 },
     Progress { on: u8, pick: u8, tokens: u8 },
@@ -40,9 +40,10 @@
 fn step(world: &mut World, input: &Input, next: &mut u64) {
     let instance = |on: u8| usize::from(on) % INSTANCES;
     match *input {
-        Input::Arrive { on, member, urgent, poison } => {
-            let member = pick(&["yew", "box", "oak"], member).expect("a member");
-            let mut ticket = world.ticket(*next, member, if urgent { "quote" } else { "draft" });
+        Input::Arrive { on, organisation, urgent, poison } => {
+            let organisation = pick(&["yew", "box", "oak"], organisation).expect("an organisation");
+            let mut ticket =
+                world.ticket(*next, organisation, if urgent { "quote" } else { "draft" });
             if poison {
                 ticket.fingerprint = 666;
             }
--- a/agateroute_core/tests/scenarios.rs
+++ b/agateroute_core/tests/scenarios.rs
@@ -35,14 +35,14 @@
     fn arrive(&mut self, command: &Command) -> Outcome {
         let mut args = command.consume_args();
         let at = self.world.at(args.take_key("on").unwrap_or("a"));
-        let member = args.take_key("member").unwrap_or("yew");
+        let organisation = args.take_key("organisation").unwrap_or("yew");
         let kind = args.take_key("kind").unwrap_or("draft");
         let most = args.take_key("most").unwrap_or("0").parse()?;
         let prompt = args.take_key("prompt").map(str::parse).transpose()?;
         let fingerprint = args.take_key("fingerprint").map(str::parse).transpose()?;
         let prefix = args.take_key("prefix").map(str::parse).transpose()?;
         while let Some(request) = args.next_pos() {
-            let mut ticket = self.world.ticket(request.parse()?, member, kind);
+            let mut ticket = self.world.ticket(request.parse()?, organisation, kind);
             ticket.most = most;
             ticket.prompt = prompt.unwrap_or(ticket.prompt);
             ticket.fingerprint = fingerprint.unwrap_or(ticket.fingerprint);
@@ -255,7 +255,7 @@
     crashing_request
     crowded_memory
     deferrable_floor
-    greedy_member
+    greedy_organisation
     killed_owner
     leaving_server
     lost_claims
--- a/agateroute_core/tests/world/mod.rs
+++ b/agateroute_core/tests/world/mod.rs
@@ -75,7 +75,7 @@
         "services": [{"name": "orders", "calls": [
             {"kind": "stock", "rank": "urgent"}]}],
         "servers": servers,
-        "members": [
+        "organisations": [
             {"name": "yew", "models": ["prose"], "services": ["orders"], "keys": key(1)},
             {"name": "box", "models": ["prose"], "services": ["orders"], "keys": key(2)},
             {"name": "oak", "share": 3, "models": ["prose"], "keys": key(3)},
@@ -262,14 +262,14 @@
         self.apply(at, Event::Arrived(ticket));
     }
 
-    /// A ticket of a member.
-    pub fn ticket(&self, request: RequestId, member: &str, kind: &str) -> Ticket {
+    /// A ticket of an organisation.
+    pub fn ticket(&self, request: RequestId, organisation: &str, kind: &str) -> Ticket {
         let plain = kind == "stock";
         let rank = u8::from(kind == "draft");
         let promise = &self.document.ranks[usize::from(rank)];
         Ticket {
             request,
-            member: id(member),
+            organisation: id(organisation),
             target: if plain { service_id("orders") } else { model_id("prose") },
             kind: id(kind),
             rank,
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -76,7 +76,7 @@
     #[prost(fixed64, tag = "2")]
     pub server: u64,
     #[prost(fixed64, tag = "3")]
-    pub member: u64,
+    pub organisation: u64,
     /// The model or the plain service.
     #[prost(fixed64, tag = "4")]
     pub target: u64,
@@ -171,7 +171,7 @@
     #[prost(fixed64, tag = "2")]
     pub server: u64,
     #[prost(fixed64, tag = "3")]
-    pub member: u64,
+    pub organisation: u64,
     #[prost(fixed64, tag = "4")]
     pub target: u64,
     #[prost(fixed64, tag = "5")]
@@ -286,7 +286,7 @@
     Leaving = 2,
     /// The receiver does not know the server.
     UnknownServer = 3,
-    /// The member asks for more than it is owed.
+    /// The organisation asks for more than it is owed.
     OverShare = 4,
 }
 impl DenyReason {
--- a/agateroute_platform/src/calls.rs
+++ b/agateroute_storage/src/calls.rs
@@ -31,8 +31,8 @@
     pub attempt: String,
     /// The digest of method, path and body.
     pub digest: String,
-    /// The member.
-    pub member: String,
+    /// The organisation.
+    pub organisation: String,
     /// The service.
     pub service: String,
     /// The request kind.
@@ -81,8 +81,8 @@
 }
 
 /// The row of a call: its partition and its sort key, joined by a slash.
-pub fn row_name(member: &str, service: &str, key: &str) -> String {
-    let digest = hex_digest(format!("{member}\0{service}\0{key}").as_bytes());
+pub fn row_name(organisation: &str, service: &str, key: &str) -> String {
+    let digest = hex_digest(format!("{organisation}\0{service}\0{key}").as_bytes());
     format!("{}/{digest}", partition(&digest[..1]))
 }
 
--- a/agateroute_platform/src/manifest.rs
+++ b/agateroute_storage/src/manifest.rs
@@ -7,7 +7,7 @@
 use serde_json::{Map, Value};
 
 /// The lists that are split into buckets by the name of their entries.
-const SPLIT: [&str; 2] = ["members", "servers"];
+const SPLIT: [&str; 2] = ["organisations", "servers"];
 /// The entries up to which such a list stays whole.
 const WHOLE_MOST: usize = 32;
 /// The buckets of a split list.
--- a/agaterouted/src/account.rs
+++ b/agaterouted/src/account.rs
@@ -15,7 +15,7 @@
 
 /// The share of gaps between tokens that may be longer than the target, as one in this many.
 const SLOW_GAPS_ONE_IN: u64 = 20;
-/// When a member with too many requests in progress should ask again, in milliseconds.
+/// When an organisation with too many requests in progress should ask again, in milliseconds.
 const RETRY_MS: u32 = 1_000;
 
 /// How a request ended.
@@ -54,8 +54,8 @@
 pub struct Subject {
     /// The request id that the caller sees.
     pub request: Arc<str>,
-    /// The member.
-    pub member: Arc<str>,
+    /// The organisation.
+    pub organisation: Arc<str>,
     /// The request kind.
     pub kind: Arc<str>,
     /// The rank.
@@ -94,7 +94,7 @@
 }
 
 impl Account {
-    /// Opens the account of a request that arrived now, unless its member has too many in progress
+    /// Opens the account of a request that arrived now, unless its organisation has too many in progress
     /// here.
     pub fn open(
         shell: &Arc<Shell>,
@@ -102,8 +102,8 @@
         targets: Targets,
         context: Context,
     ) -> Result<Account, ApiError> {
-        let most = shell.in_force().document.limits.member_requests;
-        let active = ActiveGuard::new(shell, id(&subject.member), most);
+        let most = shell.in_force().document.limits.organisation_requests;
+        let active = ActiveGuard::new(shell, id(&subject.organisation), most);
         let over = active.is_none();
         let now = Instant::now();
         let mut account = Account {
@@ -123,7 +123,7 @@
         };
         if over {
             account.close(Ended::NotRun);
-            let message = format!("this member has {most} requests in progress here");
+            let message = format!("this organisation has {most} requests in progress here");
             let status = StatusCode::TOO_MANY_REQUESTS;
             let mut error = ApiError::not_run(status, "too_many_requests", message);
             error.retry_ms = RETRY_MS;
@@ -202,7 +202,7 @@
         let subject = &self.subject;
         let key = TallyKey {
             day: day_of(unix_seconds()),
-            member: subject.member.to_string(),
+            organisation: subject.organisation.to_string(),
             kind: subject.kind.to_string(),
             rank: subject.rank.to_string(),
         };
@@ -215,7 +215,7 @@
         let first = self.first.map_or(0.0, |f| millis(f.duration_since(self.arrived)));
         spdlog::info!("request_ended", kv: {
             request: = &*subject.request,
-            member: = &*subject.member,
+            organisation: = &*subject.organisation,
             kind: = &*subject.kind,
             rank: = &*subject.rank,
             server: = self.server.as_deref().unwrap_or("-"),
@@ -230,7 +230,7 @@
     fn labels(&self) -> [KeyValue; 3] {
         let subject = &self.subject;
         [
-            KeyValue::new("member", subject.member.clone()),
+            KeyValue::new("organisation", subject.organisation.clone()),
             KeyValue::new("kind", subject.kind.clone()),
             KeyValue::new("rank", subject.rank.clone()),
         ]
--- a/agaterouted/src/auth.rs
+++ b/agaterouted/src/auth.rs
@@ -1,25 +1,25 @@
-//! Finds the member that a bearer key names.
+//! Finds the organisation that a bearer key names.
 
 use agateroute_config::Document;
 use agateroute_config::digest::parse_digest;
 use sha2::{Digest, Sha256};
 use subtle::{ConditionallySelectable, ConstantTimeEq};
 
-/// The digests of all keys, sorted, with the position of their member in the document.
+/// The digests of all keys, sorted, with the position of their organisation in the document.
 #[derive(Clone, Debug, Default)]
 pub struct KeyRing {
     keys: Vec<([u8; 32], u32)>,
 }
 
-/// The position that stands for no member.
+/// The position that stands for no organisation.
 const NOBODY: u32 = u32::MAX;
 
 impl KeyRing {
     /// The keys of a document.
     pub fn new(document: &Document) -> KeyRing {
         let mut keys = Vec::new();
-        for (i, member) in document.members.iter().enumerate() {
-            for key in &member.keys {
+        for (i, organisation) in document.organisations.iter().enumerate() {
+            for key in &organisation.keys {
                 if let Some(digest) = parse_digest(&key.sha256) {
                     keys.push((digest, i as u32));
                 }
@@ -29,7 +29,7 @@
         KeyRing { keys }
     }
 
-    /// The position of the member that a key names.
+    /// The position of the organisation that a key names.
     ///
     /// Only the first two bytes of the digest steer the search; all digests that share them are
     /// compared whole in constant time, so that timing tells nothing useful about a key.
@@ -37,10 +37,10 @@
         let digest: [u8; 32] = Sha256::digest(key).into();
         let from = self.keys.partition_point(|(d, _)| d[..2] < digest[..2]);
         let mut found = NOBODY;
-        for (candidate, member) in
+        for (candidate, organisation) in
             self.keys[from..].iter().take_while(|(d, _)| d[..2] == digest[..2])
         {
-            found.conditional_assign(member, candidate.ct_eq(&digest));
+            found.conditional_assign(organisation, candidate.ct_eq(&digest));
         }
         (found != NOBODY).then_some(found as usize)
     }
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -67,9 +67,10 @@
         ApiError::not_run(StatusCode::NOT_FOUND, "service_not_found", message)
     };
     let service = document.service(sent.service).ok_or_else(missing)?;
-    let member = caller.member();
-    if !member.services.contains(&service.name) {
-        let message = format!("member {:?} may not call service {:?}", member.name, service.name);
+    let organisation = caller.organisation();
+    if !organisation.services.contains(&service.name) {
+        let message =
+            format!("organisation {:?} may not call service {:?}", organisation.name, service.name);
         return Err(ApiError::not_run(StatusCode::FORBIDDEN, "not_granted", message));
     }
     let call = service.call(sent.method.as_str(), sent.path).ok_or_else(|| {
@@ -80,7 +81,7 @@
     let rank = &document.ranks[document.rank_index(&call.rank).unwrap_or(0)];
     let subject = Subject {
         request: caller.request.clone(),
-        member: member.name.as_str().into(),
+        organisation: organisation.name.as_str().into(),
         kind: call.kind.as_str().into(),
         rank: rank.name.as_str().into(),
     };
@@ -118,12 +119,12 @@
 ) -> Ticket {
     let document = &caller.in_force.document;
     let rank = document.rank_index(&call.rank).unwrap_or(0);
-    let member = id(&caller.member().name);
+    let organisation = id(&caller.organisation().name);
     let kind = id(&call.kind);
     let content = mix(id(sent.target), id_of_bytes(&sent.body));
     Ticket {
         request: shell.next_request(),
-        member,
+        organisation,
         target: service_id(&service.name),
         kind,
         rank: rank as u8,
@@ -131,7 +132,7 @@
         most: 0,
         prefix: 0,
         shared: 0,
-        fingerprint: mix(mix(member, kind), content),
+        fingerprint: mix(mix(organisation, kind), content),
         deadline: shell.now() + document.ranks[rank].answer_ms,
     }
 }
@@ -213,7 +214,7 @@
         path: sent.target,
         headers: sent.headers,
         body: &sent.body,
-        member: &account.subject.member,
+        organisation: &account.subject.organisation,
         fencing,
     };
     let mut request = (HTTP.call)(&server.address, &order);
--- a/agaterouted/src/claims.rs
+++ b/agaterouted/src/claims.rs
@@ -7,8 +7,8 @@
 use agateroute_config::digest::hex_digest;
 use agateroute_config::service::Service;
 use agateroute_core::event::{End, Sign, Ticket};
-use agateroute_platform::calls::{Answer, CallRecord, CallState, row_name, settled_tag};
 use agateroute_proto::peers::{Claim, ClaimOutcome};
+use agateroute_storage::calls::{Answer, CallRecord, CallState, row_name, settled_tag};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -61,7 +61,7 @@
     sent: &Sent<'_>,
     key: &str,
 ) -> Result<WebResponse, ApiError> {
-    let member = &account.subject.member;
+    let organisation = &account.subject.organisation;
     let digest = hex_digest(&[sent.method.as_str(), " ", sent.target, "\n"].concat().into_bytes());
     let digest = hex_digest(&[digest.as_bytes(), &sent.body].concat());
     let now = unix_millis();
@@ -72,7 +72,7 @@
         state: CallState::Open,
         attempt: format!("{:032x}", rand::random::<u128>()),
         digest,
-        member: member.to_string(),
+        organisation: organisation.to_string(),
         service: service.name.clone(),
         kind: account.subject.kind.to_string(),
         key: key.to_owned(),
@@ -83,7 +83,7 @@
     };
     let call = Owned {
         shell: shell.clone(),
-        row: row_name(member, &service.name, key),
+        row: row_name(organisation, &service.name, key),
         account,
         service: service.clone(),
         ticket,
--- a/agaterouted/src/error.rs
+++ b/agaterouted/src/error.rs
@@ -78,7 +78,7 @@
             Refusal::OverShare => (
                 StatusCode::TOO_MANY_REQUESTS,
                 "over_share",
-                "this member has more waiting than it is owed",
+                "this organisation has more waiting than it is owed",
             ),
             Refusal::NoServer => (unavailable, "no_server", "no backend server takes new work"),
             Refusal::Failed => (unavailable, "failed", "attempts failed and none is left in time"),
--- a/agaterouted/src/follow.rs
+++ b/agaterouted/src/follow.rs
@@ -5,8 +5,8 @@
 
 use agateroute_core::Event;
 use agateroute_core::membership::Listed;
-use agateroute_platform::config::PartCache;
-use agateroute_platform::instances::Instance;
+use agateroute_storage::config::PartCache;
+use agateroute_storage::instances::Instance;
 use tokio_util::sync::CancellationToken;
 
 use crate::peers::{fetch_document, keep_dialing};
--- a/agaterouted/src/front.rs
+++ b/agaterouted/src/front.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use agateroute_config::limits::Limits;
-use agateroute_config::member::Member;
+use agateroute_config::organisation::Organisation;
 use agateroute_config::rank::Rank;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use opentelemetry::Context;
@@ -29,7 +29,7 @@
 /// The path below which plain services are.
 const SERVICES_PATH: &str = "/v1/services/";
 
-/// The member that a request is from.
+/// The organisation that a request is from.
 #[derive(Clone, Debug)]
 pub struct Caller {
     /// The document that the request is served by.
@@ -42,9 +42,9 @@
 }
 
 impl Caller {
-    /// The member.
-    pub fn member(&self) -> &Member {
-        &self.in_force.document.members[self.position]
+    /// The organisation.
+    pub fn organisation(&self) -> &Organisation {
+        &self.in_force.document.organisations[self.position]
     }
 }
 
@@ -193,7 +193,7 @@
     let key = headers.get(header::AUTHORIZATION).and_then(|v| bearer(v.as_bytes()));
     let position = key.and_then(|k| in_force.keys.find(k));
     let position = position.ok_or_else(|| {
-        let message = "the bearer key is missing or names no member";
+        let message = "the bearer key is missing or names no organisation";
         ApiError::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message)
     })?;
     Ok(Caller { in_force, request, context, position })
@@ -205,10 +205,10 @@
     json!({"object": "list", "data": data})
 }
 
-/// The models that a member may use, with their adapters.
+/// The models that an organisation may use, with their adapters.
 fn model_names(caller: &Caller) -> Vec<String> {
     let document = &caller.in_force.document;
-    let granted = caller.member().models.iter().filter_map(|m| document.model(m));
+    let granted = caller.organisation().models.iter().filter_map(|m| document.model(m));
     let names = granted.flat_map(|m| {
         let adapters = m.adapters.iter().map(|a| format!("{}:{}", m.name, a.name));
         std::iter::once(m.name.clone()).chain(adapters)
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -68,7 +68,7 @@
     let rank = &in_force.document.ranks[declared.rank];
     let subject = Subject {
         request: caller.request.clone(),
-        member: caller.member().name.as_str().into(),
+        organisation: caller.organisation().name.as_str().into(),
         kind: declared.kind.into(),
         rank: rank.name.as_str().into(),
     };
@@ -374,9 +374,9 @@
     if adapter.is_some_and(|a| !model.adapters.iter().any(|d| d.name == a)) {
         return Err(missing());
     }
-    let member = caller.member();
-    if !member.models.iter().any(|m| m == base) {
-        let message = format!("member {:?} may not use model {base:?}", member.name);
+    let organisation = caller.organisation();
+    if !organisation.models.iter().any(|m| m == base) {
+        let message = format!("organisation {:?} may not use model {base:?}", organisation.name);
         return Err(ApiError::not_run(StatusCode::FORBIDDEN, "not_granted", message));
     }
     if asked.prompt.saturating_add(asked.most) > model.context_tokens {
@@ -403,12 +403,12 @@
     body: &Bytes,
 ) -> Ticket {
     let document = &caller.in_force.document;
-    let member = id(&caller.member().name);
+    let organisation = id(&caller.organisation().name);
     let kind = id(declared.kind);
-    let prefix = if asked.prefix == 0 { 0 } else { mix(member, asked.prefix) };
+    let prefix = if asked.prefix == 0 { 0 } else { mix(organisation, asked.prefix) };
     Ticket {
         request: shell.next_request(),
-        member,
+        organisation,
         target: model_id(declared.model),
         kind,
         rank: declared.rank as u8,
@@ -416,7 +416,7 @@
         most: asked.most,
         prefix,
         shared: if prefix == 0 { 0 } else { (PREFIX_BYTES / BYTES_PER_TOKEN) as u32 },
-        fingerprint: mix(mix(member, kind), id_of_bytes(body)),
+        fingerprint: mix(mix(organisation, kind), id_of_bytes(body)),
         deadline: shell.now() + document.ranks[declared.rank].first_token_ms,
     }
 }
--- a/agaterouted/src/jobs.rs
+++ b/agaterouted/src/jobs.rs
@@ -5,9 +5,9 @@
 
 use agateroute_core::Event;
 use agateroute_core::ledger::{RowResult, Transacted};
-use agateroute_platform::calls::settled_tag;
-use agateroute_platform::table::{Condition, Failure, Outcome, Row, Table, Write};
 use agateroute_proto::peers::Claim;
+use agateroute_storage::calls::settled_tag;
+use agateroute_storage::table::{Condition, Failure, Outcome, Row, Table, Write};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
--- a/agaterouted/src/plain.rs
+++ b/agaterouted/src/plain.rs
@@ -23,8 +23,8 @@
     pub headers: &'a HeaderMap,
     /// The body.
     pub body: &'a Bytes,
-    /// The member that calls.
-    pub member: &'a str,
+    /// The organisation that calls.
+    pub organisation: &'a str,
     /// The fencing number of the claim, for servers that check it.
     pub fencing: Option<u64>,
 }
@@ -77,8 +77,8 @@
             headers.append(name.clone(), value.clone());
         }
     }
-    if let Ok(member) = order.member.parse() {
-        headers.insert("agateroute-member", member);
+    if let Ok(organisation) = order.organisation.parse() {
+        headers.insert("agateroute-organisation", organisation);
     }
     if let Some(number) = order.fencing {
         headers.insert(FENCING_HEADER, number.into());
--- a/agaterouted/src/platform.rs
+++ b/agaterouted/src/platform.rs
@@ -1,12 +1,12 @@
 //! The platform's services as this instance uses them.
 
 use agateroute_config::settings;
-use agateroute_platform::Client;
-use agateroute_platform::config::ConfigStore;
-use agateroute_platform::instances::{HTTP_SD, Instances};
-use agateroute_platform::objects::{Objects, S3};
-use agateroute_platform::table::{DYNAMO, Table};
-use agateroute_platform::weights::{S3_MANIFEST, WeightStore};
+use agateroute_storage::Client;
+use agateroute_storage::config::ConfigStore;
+use agateroute_storage::instances::{HTTP_SD, Instances};
+use agateroute_storage::objects::{Objects, S3};
+use agateroute_storage::table::{DYNAMO, Table};
+use agateroute_storage::weights::{S3_MANIFEST, WeightStore};
 
 use crate::shell::millis;
 
--- a/agaterouted/src/report.rs
+++ b/agaterouted/src/report.rs
@@ -2,7 +2,7 @@
 
 use agateroute_core::Table;
 use agateroute_core::tally::{OUTCOMES, Tally, Times};
-use agateroute_platform::PlatformError;
+use agateroute_storage::PlatformError;
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 
 use crate::clock::{day_of, unix_seconds};
@@ -37,7 +37,7 @@
 pub struct DayData {
     /// The day.
     pub day: String,
-    /// The tallies by member, kind and rank.
+    /// The tallies by organisation, kind and rank.
     pub tallies: Table<(String, String, String), Tally>,
     /// The instances that counted.
     pub instances: Vec<Covered>,
@@ -102,8 +102,8 @@
         if !self.instances.contains(&covered) {
             self.instances.push(covered);
         }
-        for TallyEntry { member, kind, rank, tally } in record.entries {
-            self.tallies.entry((member, kind, rank), Tally::default).merge(&tally);
+        for TallyEntry { organisation, kind, rank, tally } in record.entries {
+            self.tallies.entry((organisation, kind, rank), Tally::default).merge(&tally);
         }
     }
 
@@ -149,17 +149,17 @@
         })
     }
 
-    fn by_rank(&self, member: &str, rank: &str) -> Tally {
+    fn by_rank(&self, organisation: &str, rank: &str) -> Tally {
         let mut sum = Tally::default();
         for ((m, _, r), tally) in self.tallies.iter() {
-            if m == member && r == rank {
+            if m == organisation && r == rank {
                 sum.merge(tally);
             }
         }
         sum
     }
 
-    fn members(&self) -> Vec<String> {
+    fn organisations(&self) -> Vec<String> {
         let mut all: Vec<String> = self.tallies.keys().map(|(m, _, _)| m.clone()).collect();
         all.dedup();
         all
@@ -188,11 +188,11 @@
     tally.total() - tally.ended[5]
 }
 
-/// Why a member's day did not go well, if it did not.
-fn complaints(data: &DayData, member: &str) -> Vec<String> {
+/// Why an organisation's day did not go well, if it did not.
+fn complaints(data: &DayData, organisation: &str) -> Vec<String> {
     let mut all = Vec::new();
     for rank in data.ranks() {
-        let tally = data.by_rank(member, &rank);
+        let tally = data.by_rank(organisation, &rank);
         let asked = answered(&tally);
         if share(tally.ended[0], asked) < WELL_SHARE {
             let missed = asked - tally.ended[0];
@@ -208,7 +208,7 @@
 /// The sentence at the top.
 fn verdict(data: &DayData) -> (bool, String) {
     let bad: Vec<String> = data
-        .members()
+        .organisations()
         .iter()
         .filter_map(|m| {
             let why = complaints(data, m);
@@ -217,11 +217,11 @@
         .collect();
     let unknown = !data.gaps().is_empty();
     match (bad.is_empty(), unknown) {
-        (true, false) if data.tallies.is_empty() => (true, "No member asked for anything.".into()),
-        (true, false) => (true, "The day went well for every member.".into()),
+        (true, false) if data.tallies.is_empty() => (true, "No organisation asked for anything.".into()),
+        (true, false) => (true, "The day went well for every organisation.".into()),
         (true, true) => (
             false,
-            "As far as is known, the day went well for every member; but some of it is not known."
+            "As far as is known, the day went well for every organisation; but some of it is not known."
                 .into(),
         ),
         (false, false) => (false, format!("The day did not go well for {}.", bad.join("; "))),
@@ -250,7 +250,7 @@
                 p class=(if well { "verdict" } else { "verdict bad" }) { (sentence) }
                 p { (worth_sentence(in_force, data)) }
                 (unknown_section(data))
-                (member_table(in_force, data))
+                (organisation_table(in_force, data))
                 (outcome_table(data))
                 (stream_section(data))
                 (instance_table(data))
@@ -290,30 +290,30 @@
     }
 }
 
-fn member_table(in_force: &InForce, data: &DayData) -> Markup {
+fn organisation_table(in_force: &InForce, data: &DayData) -> Markup {
     let document = &in_force.document;
-    let owed: u32 = document.members.iter().map(|m| m.share).sum();
+    let owed: u32 = document.organisations.iter().map(|m| m.share).sum();
     let all_tokens: u64 = data.tallies.values().map(|t| t.tokens).sum();
     let ranks = data.ranks();
     html! {
-        h2 { "Members" }
+        h2 { "Organisations" }
         div class="scroll" { table {
             thead { tr {
-                th { "member" } th { "owed" } th { "asked" } th { "got whole and on time" }
+                th { "organisation" } th { "owed" } th { "asked" } th { "got whole and on time" }
                 th { "tokens" } th { "of all tokens" }
                 @for rank in &ranks { th { (rank) ": on time" } }
                 th { "refused" } th { "unknown" }
             } }
-            tbody { @for member in data.members() {
-                @let sum = sum_of(data, &member);
-                @let share_owed = document.member(&member).map(|m| m.share);
+            tbody { @for organisation in data.organisations() {
+                @let sum = sum_of(data, &organisation);
+                @let share_owed = document.organisation(&organisation).map(|m| m.share);
                 tr {
-                    td { (member) }
+                    td { (organisation) }
                     td { @if let Some(s) = share_owed { (percent(f64::from(s) / f64::from(owed))) } }
                     td { (sum.total()) } td { (sum.ended[0]) }
                     td { (sum.tokens) } td { (percent(share(sum.tokens, all_tokens))) }
                     @for rank in &ranks {
-                        @let tally = data.by_rank(&member, rank);
+                        @let tally = data.by_rank(&organisation, rank);
                         @let on_time = share(tally.ended[0], answered(&tally));
                         td class=(if on_time < WELL_SHARE { "bad" } else { "" }) {
                             @if tally.total() > 0 { (percent(on_time)) } @else { "–" }
@@ -327,10 +327,10 @@
     }
 }
 
-fn sum_of(data: &DayData, member: &str) -> Tally {
+fn sum_of(data: &DayData, organisation: &str) -> Tally {
     let mut sum = Tally::default();
     for rank in data.ranks() {
-        sum.merge(&data.by_rank(member, &rank));
+        sum.merge(&data.by_rank(organisation, &rank));
     }
     sum
 }
@@ -341,17 +341,17 @@
 
 fn outcome_table(data: &DayData) -> Markup {
     html! {
-        h2 { "Outcomes by member and kind" }
+        h2 { "Outcomes by organisation and kind" }
         div class="scroll" { table {
             thead { tr {
-                th { "member" } th class="text" { "kind" } th class="text" { "rank" } th { "asked" }
+                th { "organisation" } th class="text" { "kind" } th class="text" { "rank" } th { "asked" }
                 @for name in OUTCOME_NAMES { th { (name) } }
                 th { "tokens" } th { "stalls" } th { "stalled s" }
                 th { "first ms p50 / p95" } th { "gap ms p95 / p99" }
             } }
-            tbody { @for ((member, kind, rank), tally) in data.tallies.iter() {
+            tbody { @for ((organisation, kind, rank), tally) in data.tallies.iter() {
                 tr {
-                    td { (member) } td class="text" { (kind) } td class="text" { (rank) }
+                    td { (organisation) } td class="text" { (kind) } td class="text" { (rank) }
                     td { (tally.total()) }
                     @for count in tally.ended { td { (count) } }
                     td { (tally.tokens) } td { (tally.stalls) }
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -28,7 +28,7 @@
     pub version: u64,
     /// The document.
     pub document: Arc<Document>,
-    /// The keys of its members.
+    /// The keys of its organisations.
     pub keys: KeyRing,
     /// The backend servers by identifier.
     pub servers: Table<Id, ServerRef>,
@@ -74,7 +74,7 @@
     waiters: Table<RequestId, mpsc::UnboundedSender<Admission>>,
     claims: Table<RequestId, oneshot::Sender<(ClaimOutcome, String)>>,
     links: Table<Id, Link>,
-    members: Table<Id, u32>,
+    organisations: Table<Id, u32>,
     cursors: Table<Id, u64>,
     jobs: mpsc::UnboundedSender<Job>,
     book: Arc<Book>,
@@ -136,7 +136,7 @@
                 waiters: Table::default(),
                 claims: Table::default(),
                 links: Table::default(),
-                members: Table::default(),
+                organisations: Table::default(),
                 cursors: Table::default(),
                 jobs,
                 book,
@@ -388,7 +388,7 @@
         models: Vec::new(),
         services: Vec::new(),
         servers: Vec::new(),
-        members: Vec::new(),
+        organisations: Vec::new(),
         limits: agateroute_config::limits::Limits::default(),
         routing: agateroute_config::routing::Routing::default(),
     }
@@ -447,18 +447,18 @@
     }
 }
 
-/// Counts a request as in progress, for the instance and for its member, until it is dropped.
+/// Counts a request as in progress, for the instance and for its organisation, until it is dropped.
 #[derive(Debug)]
 pub struct ActiveGuard {
     shell: Arc<Shell>,
-    member: Id,
+    organisation: Id,
 }
 
 impl ActiveGuard {
-    /// Counts a request of a member, unless the member already has `most` here.
-    pub fn new(shell: &Arc<Shell>, member: Id, most: u32) -> Option<ActiveGuard> {
+    /// Counts a request of an organisation, unless the organisation already has `most` here.
+    pub fn new(shell: &Arc<Shell>, organisation: Id, most: u32) -> Option<ActiveGuard> {
         let mut inner = shell.lock();
-        let count = inner.members.entry(member, || 0);
+        let count = inner.organisations.entry(organisation, || 0);
         if *count >= most {
             return None;
         }
@@ -466,17 +466,17 @@
         drop(inner);
         shell.active.fetch_add(1, Ordering::AcqRel);
         shell.telemetry.active.add(1, &[]);
-        Some(ActiveGuard { shell: shell.clone(), member })
+        Some(ActiveGuard { shell: shell.clone(), organisation })
     }
 }
 
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
         let mut inner = self.shell.lock();
-        if let Some(count) = inner.members.get_mut(&self.member) {
+        if let Some(count) = inner.organisations.get_mut(&self.organisation) {
             *count -= 1;
             if *count == 0 {
-                inner.members.remove(&self.member);
+                inner.organisations.remove(&self.organisation);
             }
         }
         drop(inner);
--- a/agaterouted/src/tallies.rs
+++ b/agaterouted/src/tallies.rs
@@ -5,9 +5,9 @@
 
 use agateroute_core::Table;
 use agateroute_core::tally::{Tallies, Tally, TallyKey};
-use agateroute_platform::table::{Condition, Outcome, Row, TRANSACTION_MOST, Write};
 use agateroute_proto::peers::TallyRow;
 use agateroute_proto::peers::message::Body;
+use agateroute_storage::table::{Condition, Outcome, Row, TRANSACTION_MOST, Write};
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
@@ -51,11 +51,11 @@
     }
 }
 
-/// The tally of one member, kind and rank.
+/// The tally of one organisation, kind and rank.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct TallyEntry {
-    /// The member.
-    pub member: String,
+    /// The organisation.
+    pub organisation: String,
     /// The request kind.
     pub kind: String,
     /// The rank.
@@ -150,7 +150,7 @@
 
 fn entry((key, tally): (&TallyKey, &Tally)) -> TallyEntry {
     TallyEntry {
-        member: key.member.clone(),
+        organisation: key.organisation.clone(),
         kind: key.kind.clone(),
         rank: key.rank.clone(),
         tally: tally.clone(),
--- a/agaterouted/src/telemetry.rs
+++ b/agaterouted/src/telemetry.rs
@@ -33,7 +33,7 @@
 /// Everything that is measured.
 #[derive(Debug)]
 pub struct Telemetry {
-    /// Requests that ended, by member, kind, rank and outcome.
+    /// Requests that ended, by organisation, kind, rank and outcome.
     pub requests: Counter<u64>,
     /// The time from arrival to the first token, in seconds.
     pub first_token: Histogram<f64>,
--- a/agaterouted/tests/bed/mod.rs
+++ b/agaterouted/tests/bed/mod.rs
@@ -32,9 +32,9 @@
 
 static BEDS: AtomicU32 = AtomicU32::new(0);
 
-/// The key of a member.
-pub fn key_of(member: &str) -> String {
-    format!("{member}-key")
+/// The key of an organisation.
+pub fn key_of(organisation: &str) -> String {
+    format!("{organisation}-key")
 }
 
 /// Stand-ins, the document that declares them, and the daemons that serve it.
@@ -145,7 +145,7 @@
         let servers: Vec<Value> = engines.chain(services).collect();
         let plain = !self.services.is_empty();
         let granted = if plain { json!(["orders"]) } else { json!([]) };
-        let member = |name: &str, share: u32| {
+        let organisation = |name: &str, share: u32| {
             json!({"name": name, "share": share, "models": ["prose"], "services": granted,
                 "keys": [{"sha256": hex_digest(key_of(name).as_bytes())}]})
         };
@@ -171,7 +171,7 @@
                 json!([])
             },
             "servers": servers,
-            "members": [member("yew", 1), member("box", 1), {
+            "organisations": [organisation("yew", 1), organisation("box", 1), {
                 "name": "stranger", "keys": [{"sha256": hex_digest(b"stranger-key")}]}],
             "routing": {"notice_ms": 100, "report_ms": 50, "silence_ms": 1_000, "peer_ms": 1_000,
                 "claim_ms": 1_000, "repeat_ms": 2_000},
@@ -331,7 +331,7 @@
     }
 }
 
-/// A member that calls one instance.
+/// An organisation that calls one instance.
 #[derive(Clone)]
 pub struct Caller {
     pub address: String,
@@ -340,9 +340,9 @@
 }
 
 impl Caller {
-    /// A member that calls an instance over HTTP/1.1.
-    pub fn new(address: &str, member: &str) -> Caller {
-        Caller { address: address.to_owned(), key: key_of(member), client: client(false) }
+    /// An organisation that calls an instance over HTTP/1.1.
+    pub fn new(address: &str, organisation: &str) -> Caller {
+        Caller { address: address.to_owned(), key: key_of(organisation), client: client(false) }
     }
 
     /// Sends a request and reads the whole answer.
--- a/agaterouted/tests/calls.rs
+++ b/agaterouted/tests/calls.rs
@@ -14,9 +14,9 @@
     bed
 }
 
-/// How often a key of a member was executed on all services together.
-fn executions(bed: &Bed, member: &str, key: &str) -> u64 {
-    let wanted = format!("{member}/{key}");
+/// How often a key of an organisation was executed on all services together.
+fn executions(bed: &Bed, organisation: &str, key: &str) -> u64 {
+    let wanted = format!("{organisation}/{key}");
     let all = bed.services.iter().flat_map(agatestand::service::Service::executions);
     all.filter(|e| e.key == wanted).map(|e| e.count).sum()
 }
@@ -53,7 +53,7 @@
     assert_eq!(other.status, 422);
     assert_eq!(other.outcome(), "not_run");
     let competitor = Caller::new(&bed.daemons[1].listen, "box").order("a", "wire").await;
-    assert_eq!(competitor.status, 200, "keys of members are apart");
+    assert_eq!(competitor.status, 200, "keys of organisations are apart");
     assert_eq!(executions(&bed, "yew", "a"), 1);
     assert_eq!(executions(&bed, "box", "a"), 1);
 }
--- a/agaterouted/tests/config.rs
+++ b/agaterouted/tests/config.rs
@@ -2,10 +2,10 @@
 
 mod bed;
 
-use agateroute_platform::Client;
-use agateroute_platform::config::{Applied, ConfigStore};
-use agateroute_platform::objects::{Objects, S3};
-use agateroute_platform::table::{DYNAMO, Table};
+use agateroute_storage::Client;
+use agateroute_storage::config::{Applied, ConfigStore};
+use agateroute_storage::objects::{Objects, S3};
+use agateroute_storage::table::{DYNAMO, Table};
 use agatestand::platform::Control;
 use bed::{Bed, Caller, eventually, get_json, steady};
 use serde_json::json;
@@ -45,7 +45,7 @@
     let applied = store.apply(&bed.parsed(), 0, "one", "anna", 1).await.expect("the platform");
     assert!(matches!(applied, Applied::Accepted(v) if v.version == 1));
     in_force(&bed, 1).await;
-    bed.document["members"].as_array_mut().expect("members").remove(1);
+    bed.document["organisations"].as_array_mut().expect("organisations").remove(1);
     store.apply(&bed.parsed(), 1, "two", "anna", 2).await.expect("the platform");
     in_force(&bed, 2).await;
     for daemon in &bed.daemons {
@@ -92,7 +92,7 @@
     store.apply(&bed.parsed(), 0, "one", "anna", 1).await.expect("the platform");
     in_force(&bed, 1).await;
     // The file of a replaced instance is older than what is in force.
-    bed.document["members"].as_array_mut().expect("members").remove(1);
+    bed.document["organisations"].as_array_mut().expect("organisations").remove(1);
     bed.platform.control(Control::Outage { on: true });
     bed.daemons.remove(1);
     bed.start(true).await;
@@ -119,23 +119,23 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn sections_travel() {
     let mut bed = two_daemons().await;
-    let members: Vec<_> = (0..200)
+    let organisations: Vec<_> = (0..200)
         .map(|i| {
-            json!({"name": format!("member-{i:03}"), "models": ["prose"],
+            json!({"name": format!("organisation-{i:03}"), "models": ["prose"],
                 "keys": [{"sha256": agateroute_config::digest::hex_digest(&[i as u8])}]})
         })
         .collect();
-    bed.document["members"] = json!(members);
+    bed.document["organisations"] = json!(organisations);
     let store = store(&bed);
     store.apply(&bed.parsed(), 0, "one", "anna", 1).await.expect("the platform");
     in_force(&bed, 1).await;
     let before = bed.platform.counts().object_bytes;
-    bed.document["members"][7]["share"] = json!(9);
+    bed.document["organisations"][7]["share"] = json!(9);
     store.apply(&bed.parsed(), 1, "two", "anna", 2).await.expect("the platform");
     in_force(&bed, 2).await;
     let moved = bed.platform.counts().object_bytes - before;
     let whole = bed.document.to_string().len() as u64 * 2;
     assert!(moved * 2 < whole, "{moved} bytes for a change, {whole} for two whole documents");
     let document = bed.parsed();
-    assert_eq!(document.member("member-007").map(|m| m.share), Some(9));
+    assert_eq!(document.organisation("organisation-007").map(|m| m.share), Some(9));
 }
--- a/agaterouted/tests/front.rs
+++ b/agaterouted/tests/front.rs
@@ -180,11 +180,11 @@
     assert_eq!((answer.status.as_u16(), answer.outcome()), (403, "not_run"));
     let answer = stranger.call("GET", "/v1/services/orders/stock", &[], "").await;
     assert_eq!((answer.status.as_u16(), answer.outcome()), (403, "not_run"));
-    let member = Caller::new(&bed.daemons[0].listen, "yew");
-    let models = member.call("GET", "/v1/models", &[], "").await.json();
+    let organisation = Caller::new(&bed.daemons[0].listen, "yew");
+    let models = organisation.call("GET", "/v1/models", &[], "").await.json();
     assert_eq!(models["data"][0]["id"], "prose");
     assert_eq!(models["data"][1]["id"], "prose:verse");
-    assert_eq!(member.call("GET", "/v1/models/prose:verse", &[], "").await.status, 200);
+    assert_eq!(organisation.call("GET", "/v1/models/prose:verse", &[], "").await.status, 200);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -200,7 +200,7 @@
         assert_eq!(echo["method"], method);
         assert_eq!(echo["path"], "/stock/oak%20frame");
         assert_eq!(echo["query"], "height=40&x=%2F");
-        assert_eq!(echo["member"], "yew");
+        assert_eq!(echo["organisation"], "yew");
         assert_eq!(echo["body"].as_str().expect("a body").as_bytes(), body);
     }
 }
@@ -209,7 +209,7 @@
 async fn limits_kept() {
     let mut bed = Bed::new(&[steady(5.0, 1)], &[ServiceOptions::default()]).await;
     bed.document["limits"] = json!({"body_bytes": 2_000, "header_count": 20, "header_bytes": 2_000, "body_ms": 200,
-            "member_requests": 2});
+            "organisation_requests": 2});
     bed.start(false).await;
     let caller = Caller::new(&bed.daemons[0].listen, "yew");
     let long = "x".repeat(2_001);
@@ -220,7 +220,7 @@
     let names: Vec<String> = (0..21).map(|i| format!("x-{i}")).collect();
     let many: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "1")).collect();
     assert_eq!(caller.call("GET", "/v1/models", &many, "").await.status, 431);
-    // One member can not hold all places of an instance.
+    // One organisation can not hold all places of an instance.
     bed.engines[0].control(&agatestand::engine::Control::Stall { ms: 60_000 });
     let mut held = Vec::new();
     for _ in 0..2 {
--- a/agaterouted/tests/parsers.rs
+++ b/agaterouted/tests/parsers.rs
@@ -4,11 +4,11 @@
 
 use agateroute_config::Document;
 use agateroute_config::digest::hex_digest;
-use agateroute_platform::calls::{Answer, CallRecord};
-use agateroute_platform::instances::HTTP_SD;
-use agateroute_platform::manifest::{Manifest, join, split};
-use agateroute_platform::table::{Condition, DYNAMO, Outcome, Row, Write};
-use agateroute_platform::weights::S3_MANIFEST;
+use agateroute_storage::calls::{Answer, CallRecord};
+use agateroute_storage::instances::HTTP_SD;
+use agateroute_storage::manifest::{Manifest, join, split};
+use agateroute_storage::table::{Condition, DYNAMO, Outcome, Row, Write};
+use agateroute_storage::weights::S3_MANIFEST;
 use agaterouted::auth::{KeyRing, bearer};
 use agaterouted::collect::Collected;
 use agaterouted::engine::OPENAI;
@@ -93,13 +93,13 @@
 fn keys_found() {
     let document: Document = agateroute_config::parse_document("huon.yaml", HUON).expect("huon");
     let ring = KeyRing::new(&document);
-    for (i, member) in document.members.iter().enumerate() {
-        let key = format!("{}-key", member.name);
+    for (i, organisation) in document.organisations.iter().enumerate() {
+        let key = format!("{}-key", organisation.name);
         assert_eq!(ring.find(key.as_bytes()), Some(i), "{key}");
     }
     check!().with_iterations(5_000).with_test_time(TEST_TIME).for_each(|key: &[u8]| {
         let known = document
-            .members
+            .organisations
             .iter()
             .position(|m| m.keys.iter().any(|k| k.sha256 == hex_digest(key)));
         assert_eq!(ring.find(key), known);
--- a/agaterouted/tests/report.rs
+++ b/agaterouted/tests/report.rs
@@ -27,9 +27,9 @@
     String::from_utf8(body.to_vec()).expect("a text")
 }
 
-/// The cells of the row of a member and kind in the table of outcomes.
-fn cells(page: &str, member: &str, kind: &str) -> Vec<String> {
-    let start = format!("<tr><td>{member}</td><td class=\"text\">{kind}</td>");
+/// The cells of the row of an organisation and kind in the table of outcomes.
+fn cells(page: &str, organisation: &str, kind: &str) -> Vec<String> {
+    let start = format!("<tr><td>{organisation}</td><td class=\"text\">{kind}</td>");
     let Some(row) = page.split(&start).nth(1) else { return Vec::new() };
     let row = row.split("</tr>").next().unwrap_or_default();
     row.split("</td>")
@@ -41,8 +41,8 @@
 fn spec() -> LoadSpec {
     let targets =
         json!({"first_token_ms": 20_000, "between_tokens_ms": 5_000, "answer_ms": 20_000});
-    let flow = |member: &str, kind: &str, rank: &str, ask| {
-        json!({"member": member, "key": bed::key_of(member), "kind": kind, "rank": rank,
+    let flow = |organisation: &str, kind: &str, rank: &str, ask| {
+        json!({"organisation": organisation, "key": bed::key_of(organisation), "kind": kind, "rank": rank,
             "rate": 30.0, "ask": ask, "targets": targets})
     };
     let generation = json!({"generation": {"model": "prose", "prompt": 20}});
@@ -63,7 +63,7 @@
     eventually("the page shows what callers saw", async || {
         let page = page(&bed, 0).await;
         result.flows.iter().all(|flow| {
-            let cells = cells(&page, &flow.member, &flow.kind);
+            let cells = cells(&page, &flow.organisation, &flow.kind);
             let shown = |at: usize| cells.get(at).and_then(|c| c.parse::<u64>().ok());
             shown(1) == Some(flow.total())
                 && shown(2) == Some(flow.ended[0])
@@ -74,7 +74,7 @@
     })
     .await;
     let page = page(&bed, 1).await;
-    assert!(page.contains("The day went well for every member."), "{page}");
+    assert!(page.contains("The day went well for every organisation."), "{page}");
     assert!(page.contains("No instance fell silent."));
     assert!(page.contains("Instances that still serve are counted until: entry-"), "{page}");
     assert!(page.contains("<svg") && !page.contains("<script"), "plots without scripts");
@@ -135,5 +135,5 @@
     assert!(bed.daemons[1].child.wait().expect("it ends").success());
     let page = page(&bed, 0).await;
     assert_eq!(cells(&page, "yew", "stock")[1], "1");
-    assert!(page.contains("The day went well for every member."), "{page}");
+    assert!(page.contains("The day went well for every organisation."), "{page}");
 }
--- a/agaterouted/tests/telemetry.rs
+++ b/agaterouted/tests/telemetry.rs
@@ -67,7 +67,7 @@
         let page = response.into_body().collect().await.expect("a body").to_bytes();
         let page = String::from_utf8_lossy(&page).into_owned();
         let tokens = page.lines().find(|l| l.starts_with("agateroute_tokens_total"));
-        tokens.is_some_and(|l| l.contains("member=\"yew\"") && l.ends_with(" 5"))
+        tokens.is_some_and(|l| l.contains("organisation=\"yew\"") && l.ends_with(" 5"))
     })
     .await;
 }
--- a/agatestand/src/args.rs
+++ b/agatestand/src/args.rs
@@ -86,7 +86,7 @@
         /// The process of the instance, whose processor time and memory are read
         #[bpaf(long, argument("PID"))]
         pid: Option<u32>,
-        /// A key of a member
+        /// A key of an organisation
         #[bpaf(long, argument("KEY"))]
         key: String,
         /// The model
@@ -129,7 +129,7 @@
         /// Leave the baselines out
         #[bpaf(long)]
         alone: bool,
-        /// steady, deferrable-flood, urgent-flood or greedy-members
+        /// steady, deferrable-flood, urgent-flood or greedy-organisations
         #[bpaf(positional("CASE"))]
         case: String,
     },
@@ -177,9 +177,9 @@
     /// Print a document of a size, for measurements
     #[bpaf(command)]
     Document {
-        /// The members
+        /// The organisations
         #[bpaf(long, argument("N"), fallback(10), display_fallback)]
-        members: u32,
+        organisations: u32,
         /// The engines
         #[bpaf(long, argument("N"), fallback(12), display_fallback)]
         engines: u32,
@@ -193,7 +193,7 @@
         /// The address of an instance
         #[bpaf(long, argument("IP:PORT"))]
         target: String,
-        /// A key of a member
+        /// A key of an organisation
         #[bpaf(long, argument("KEY"))]
         key: String,
     },
--- a/agatestand/src/bench.rs
+++ b/agatestand/src/bench.rs
@@ -28,7 +28,7 @@
     pub target: String,
     /// The process of the instance.
     pub pid: Option<u32>,
-    /// A key of a member.
+    /// A key of an organisation.
     pub key: String,
     /// The model.
     pub model: String,
--- a/agatestand/src/cases.rs
+++ b/agatestand/src/cases.rs
@@ -13,8 +13,8 @@
     DeferrableFlood,
     /// Three times what the engines can take, of urgent work.
     UrgentFlood,
-    /// Two small members ask for ten times as much.
-    GreedyMembers,
+    /// Two small organisations ask for ten times as much.
+    GreedyOrganisations,
 }
 
 /// The tokens of the prompt of a deferrable generation.
@@ -25,7 +25,7 @@
 const QUOTE_MOST: u64 = 100;
 /// The share of the load that is urgent generations, by requests.
 const QUOTE_SHARE: f64 = 0.25;
-/// Plain calls in a second, of all members together.
+/// Plain calls in a second, of all organisations together.
 const CALL_RATE: f64 = 30.0;
 /// Plain calls in a second in a flood of urgent work where no urgent generations are declared.
 const CALL_FLOOD_RATE: f64 = 1_200.0;
@@ -37,38 +37,38 @@
             "steady" => Some(Case::Steady),
             "deferrable-flood" => Some(Case::DeferrableFlood),
             "urgent-flood" => Some(Case::UrgentFlood),
-            "greedy-members" => Some(Case::GreedyMembers),
+            "greedy-organisations" => Some(Case::GreedyOrganisations),
             _ => None,
         }
     }
 
-    /// The factor on a member's deferrable and urgent work.
-    fn factors(self, position: usize, members: usize) -> (f64, f64) {
+    /// The factor on an organisation's deferrable and urgent work.
+    fn factors(self, position: usize, organisations: usize) -> (f64, f64) {
         match self {
             Case::Steady => (1.0, 1.0),
             Case::DeferrableFlood => (3.0, 1.0),
             Case::UrgentFlood => (1.0, 34.0),
-            Case::GreedyMembers if position + 2 >= members => (10.0, 1.0),
-            Case::GreedyMembers => (1.0, 1.0),
+            Case::GreedyOrganisations if position + 2 >= organisations => (10.0, 1.0),
+            Case::GreedyOrganisations => (1.0, 1.0),
         }
     }
 
     /// The load of this case. `rate` is the generations in a second at 80 percent of the capacity.
     pub fn spec(self, document: &Document, rate: f64, seconds: f64, seed: u64) -> LoadSpec {
-        let owed: f64 = document.members.iter().map(|m| f64::from(m.share)).sum();
-        let count = document.members.len();
+        let owed: f64 = document.organisations.iter().map(|m| f64::from(m.share)).sum();
+        let count = document.organisations.len();
         let urgent_generations = document
             .models
             .iter()
             .flat_map(|m| &m.kinds)
             .any(|k| document.rank_index(&k.rank) == Some(0));
         let mut flows = Vec::new();
-        for (i, member) in document.members.iter().enumerate() {
-            let part = f64::from(member.share) / owed;
+        for (i, organisation) in document.organisations.iter().enumerate() {
+            let part = f64::from(organisation.share) / owed;
             let (deferrable, urgent) = self.factors(i, count);
             let base = Flow {
-                member: member.name.clone(),
-                key: format!("{}-key", member.name),
+                organisation: organisation.name.clone(),
+                key: format!("{}-key", organisation.name),
                 kind: String::new(),
                 rank: String::new(),
                 rate: 0.0,
@@ -107,7 +107,7 @@
     }
 }
 
-/// The flow of a member's urgent or deferrable generations, if the document has such a kind.
+/// The flow of an organisation's urgent or deferrable generations, if the document has such a kind.
 fn generation(document: &Document, base: &Flow, urgent: bool, rate: f64) -> Option<Flow> {
     let found = document.models.iter().flat_map(|m| m.kinds.iter().map(move |k| (m, k)));
     let mut kinds = found.filter_map(|(m, k)| Some((m, k, document.rank_index(&k.rank)?)));
@@ -124,7 +124,7 @@
     })
 }
 
-/// The flow of a member's repeatable plain calls, if the document has any.
+/// The flow of an organisation's repeatable plain calls, if the document has any.
 fn call(document: &Document, base: &Flow, rate: f64) -> Option<Flow> {
     let service = document.services.first()?;
     let call = service.calls.iter().find(|c| c.repeatable)?;
--- a/agatestand/src/compare.rs
+++ b/agatestand/src/compare.rs
@@ -71,7 +71,7 @@
     let result = one_run(plan, &aim, &engines).await;
     print_row(plan, "agateroute", &result);
     results.push(("agateroute".to_owned(), result));
-    print_members(plan, &results);
+    print_organisations(plan, &results);
 }
 
 async fn one_run(plan: &Plan, aim: &Aim, engines: &[String]) -> RunResult {
@@ -109,14 +109,14 @@
     println!("|{}", " --- |".repeat(15));
 }
 
-fn print_members(plan: &Plan, results: &[(String, RunResult)]) {
+fn print_organisations(plan: &Plan, results: &[(String, RunResult)]) {
     println!();
     for (name, result) in results {
-        println!("{name}: share on time by member, deferrable generations");
+        println!("{name}: share on time by organisation, deferrable generations");
         let deferrable: Vec<&FlowResult> =
             result.flows.iter().filter(|f| is_generation(plan, f) && !urgent(plan, f)).collect();
         let shares = deferrable.iter().map(|f| {
-            format!("{} {:.2} of {} ({} tokens)", f.member, f.on_time(), f.total(), f.tokens)
+            format!("{} {:.2} of {} ({} tokens)", f.organisation, f.on_time(), f.total(), f.tokens)
         });
         println!("  {}", shares.collect::<Vec<_>>().join(", "));
     }
--- a/agatestand/src/load.rs
+++ b/agatestand/src/load.rs
@@ -113,7 +113,7 @@
     }
     drop(sender);
     let mut flows: Vec<FlowResult> =
-        spec.flows.iter().map(|f| FlowResult::new(&f.member, &f.kind, &f.rank)).collect();
+        spec.flows.iter().map(|f| FlowResult::new(&f.organisation, &f.kind, &f.rank)).collect();
     while let Some(one) = seen.recv().await {
         flows[one.flow].add(&one);
     }
@@ -235,7 +235,7 @@
 
     /// A prompt of some tokens that no other request has.
     fn prompt(&self, tokens: usize, mark: &str) -> String {
-        let head = format!("{} {} {} {mark} ", self.flow.member, self.position, self.number);
+        let head = format!("{} {} {} {mark} ", self.flow.organisation, self.position, self.number);
         let filler = "wire ".repeat(tokens * BYTES_PER_TOKEN / 5);
         head + &filler
     }
--- a/agatestand/src/main.rs
+++ b/agatestand/src/main.rs
@@ -96,8 +96,8 @@
             slopes::run(&slopes::Plan { label, pids, ops, platform, time }).await;
             Ok(())
         }
-        Command::Document { members, engines, models } => {
-            println!("{:#}", agatestand::synthetic::document(members, engines, models));
+        Command::Document { organisations, engines, models } => {
+            println!("{:#}", agatestand::synthetic::document(organisations, engines, models));
             Ok(())
         }
         Command::Tour { target, key } => tour::run(&target, &key).await,
--- a/agatestand/src/platform.rs
+++ b/agatestand/src/platform.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use agateroute_platform::instances::{Group, Labels};
+use agateroute_storage::instances::{Group, Labels};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/agatestand/src/propagate.rs
+++ b/agatestand/src/propagate.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use agateroute_config::Document;
-use agateroute_platform::Client;
-use agateroute_platform::config::{Applied, ConfigStore};
-use agateroute_platform::http::request;
-use agateroute_platform::objects::{Objects, S3};
-use agateroute_platform::table::{DYNAMO, Table};
+use agateroute_storage::Client;
+use agateroute_storage::config::{Applied, ConfigStore};
+use agateroute_storage::http::request;
+use agateroute_storage::objects::{Objects, S3};
+use agateroute_storage::table::{DYNAMO, Table};
 use agatestand::platform::Control;
 use hdrhistogram::Histogram;
 use serde_json::Value;
@@ -48,9 +48,9 @@
     let mut during = all.clone();
     let mut document = plan.document.clone();
     for n in 1..=plan.changes {
-        let count = document.members.len().max(1) as u64;
-        if let Some(member) = document.members.get_mut((n % count) as usize) {
-            member.share = 1 + (member.share % 9);
+        let count = document.organisations.len().max(1) as u64;
+        if let Some(organisation) = document.organisations.get_mut((n % count) as usize) {
+            organisation.share = 1 + (organisation.share % 9);
         }
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
         let apply = format!("propagate-{base}-{n}");
--- a/agatestand/src/results.rs
+++ b/agatestand/src/results.rs
@@ -1,4 +1,4 @@
-//! What came of a load run, by member, kind and rank.
+//! What came of a load run, by organisation, kind and rank.
 
 use std::fmt::Write;
 
@@ -49,8 +49,8 @@
 /// The sums of one flow.
 #[derive(Clone, Debug)]
 pub struct FlowResult {
-    /// The member.
-    pub member: String,
+    /// The organisation.
+    pub organisation: String,
     /// The request kind.
     pub kind: String,
     /// The rank.
@@ -73,11 +73,11 @@
 
 impl FlowResult {
     /// An empty result.
-    pub fn new(member: &str, kind: &str, rank: &str) -> FlowResult {
+    pub fn new(organisation: &str, kind: &str, rank: &str) -> FlowResult {
         let histogram = || Histogram::new_with_max(LONGEST_US, 3);
         let empty = || histogram().unwrap_or_else(|_| unreachable!("the bounds are valid"));
         FlowResult {
-            member: member.to_owned(),
+            organisation: organisation.to_owned(),
             kind: kind.to_owned(),
             rank: rank.to_owned(),
             ended: [0; 6],
@@ -138,7 +138,7 @@
     pub fn to_json(&self) -> Value {
         let quantile = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1000.0;
         json!({
-            "member": self.member,
+            "organisation": self.organisation,
             "kind": self.kind,
             "rank": self.rank,
             "requests": self.total(),
@@ -200,7 +200,7 @@
     /// The result as a Markdown table.
     pub fn to_markdown(&self) -> String {
         let mut out = String::from(
-            "| member | kind | rank | requests | on time | late | not run | partial | unknown | \
+            "| organisation | kind | rank | requests | on time | late | not run | partial | unknown | \
              broken | first p50/p99 ms | gap p95/p99 ms | stall ms each | violations |\n\
              | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
         );
@@ -213,7 +213,8 @@
 
 fn write_row(out: &mut String, flow: &FlowResult) {
     let quantile = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1000.0;
-    let _ = write!(out, "| {} | {} | {} | {} ", flow.member, flow.kind, flow.rank, flow.total());
+    let _ =
+        write!(out, "| {} | {} | {} | {} ", flow.organisation, flow.kind, flow.rank, flow.total());
     for count in flow.ended {
         let _ = write!(out, "| {count} ");
     }
--- a/agatestand/src/service.rs
+++ b/agatestand/src/service.rs
@@ -34,7 +34,7 @@
 /// How often a key was executed.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Execution {
-    /// The member and the idempotency key.
+    /// The organisation and the idempotency key.
     pub key: String,
     /// How often.
     pub count: u64,
@@ -157,7 +157,7 @@
             "path": head.uri.path(),
             "query": head.uri.query(),
             "traceparent": text(&head.headers, "traceparent"),
-            "member": text(&head.headers, "agateroute-member"),
+            "organisation": text(&head.headers, "agateroute-organisation"),
             "execution": execution,
             "bytes": body.len(),
             "body": String::from_utf8_lossy(body),
@@ -189,7 +189,7 @@
         if key.is_empty() {
             return (1, lose);
         }
-        let key = format!("{}/{key}", text(headers, "agateroute-member"));
+        let key = format!("{}/{key}", text(headers, "agateroute-organisation"));
         let at = match state.executions.binary_search_by(|e| e.key.cmp(&key)) {
             Ok(at) => at,
             Err(at) => {
--- a/agatestand/src/slopes.rs
+++ b/agatestand/src/slopes.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use agateroute_platform::Client;
-use agateroute_platform::http::request;
+use agateroute_storage::Client;
+use agateroute_storage::http::request;
 use agatestand::platform::Counts;
 use agatestand::process::usage;
 
--- a/agatestand/src/spec.rs
+++ b/agatestand/src/spec.rs
@@ -17,12 +17,12 @@
     pub flows: Vec<Flow>,
 }
 
-/// One member's requests of one kind.
+/// One organisation's requests of one kind.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Flow {
-    /// The member, for the report.
-    pub member: String,
+    /// The organisation, for the report.
+    pub organisation: String,
     /// The bearer key.
     #[serde(default)]
     pub key: String,
--- a/agatestand/src/synthetic.rs
+++ b/agatestand/src/synthetic.rs
@@ -8,8 +8,8 @@
 /// The ports that servers that do not exist are spread over.
 const NO_SERVER_PORTS: u32 = 500;
 
-/// A document with some members, engines and models. The engines need not exist.
-pub fn document(members: u32, engines: u32, models: u32) -> Value {
+/// A document with some organisations, engines and models. The engines need not exist.
+pub fn document(organisations: u32, engines: u32, models: u32) -> Value {
     let model = |i| {
         json!({"name": format!("model-{i}"), "version": "1", "context_tokens": 32768,
             "kinds": [{"name": "draft", "rank": "deferrable"}, {"name": "quote", "rank": "urgent"}]})
@@ -20,8 +20,8 @@
             "engine": {"models": [format!("model-{}", i % models)], "memory_tokens": 100_000}})
     };
     let names: Vec<String> = (0..models).map(|i| format!("model-{i}")).collect();
-    let member = |i| {
-        let name = format!("member-{i}");
+    let organisation = |i| {
+        let name = format!("organisation-{i}");
         json!({"name": name, "models": names, "share": 1 + i % 7,
             "keys": [{"sha256": hex_digest(format!("{name}-key").as_bytes())}]})
     };
@@ -34,6 +34,6 @@
         ],
         "models": (0..models).map(model).collect::<Vec<Value>>(),
         "servers": (0..engines).map(engine).collect::<Vec<Value>>(),
-        "members": (0..members).map(member).collect::<Vec<Value>>(),
+        "organisations": (0..organisations).map(organisation).collect::<Vec<Value>>(),
     })
 }
--- a/agatestand/src/tour.rs
+++ b/agatestand/src/tour.rs
@@ -1,4 +1,4 @@
-//! The demonstration's tour: a reading, an order and a lookup, as a member sees them.
+//! The demonstration's tour: a reading, an order and a lookup, as an organisation sees them.
 
 use std::io::Write;
 
@@ -17,7 +17,7 @@
     println!("models: {models}");
     let model = serde_json::from_str::<Value>(&models).ok();
     let model = model.and_then(|m| m.pointer("/data/0/id")?.as_str().map(str::to_owned));
-    let model = model.ok_or("this member may use no model")?;
+    let model = model.ok_or("this organisation may use no model")?;
     println!("\na reading by {model}:\n");
     stream(&client, target, key, &model).await?;
     let order = Some("tour-order-1");
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -14,7 +14,7 @@
 models: [{name: prose, version: "1", context_tokens: 32768, kinds: [{name: draft, rank: urgent}]}]
 servers:
   - {name: e1, address: "127.0.0.1:18101", zone: a, engine: {models: [prose], memory_tokens: 10000000, batch: 2000}}
-members: [{name: yew, models: [prose], keys: [{sha256: "$digest"}]}]
+organisations: [{name: yew, models: [prose], keys: [{sha256: "$digest"}]}]
 Y
 cat >"$work/settings.yaml" <<Y
 {instance: bench, zone: a, listen: "127.0.0.1:18001", peer: "127.0.0.1:18002", ops: "127.0.0.1:18003",
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prints the table of docs/CAPACITY.md: what an instance uses as the number of instances, members,
+# Prints the table of docs/CAPACITY.md: what an instance uses as the number of instances, organisations,
 # backend servers and requests grows. Everything runs on this machine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -20,7 +20,7 @@
 start() {
     "$bin/agatestand" platform --reads 100000 --writes 100000 $platform & all+=($!)
     document=${5:-$work/document.yaml}
-    [ -n "${5:-}" ] || "$bin/agatestand" document --members "$2" --engines "$3" --models "$4" >"$document"
+    [ -n "${5:-}" ] || "$bin/agatestand" document --organisations "$2" --engines "$3" --models "$4" >"$document"
     sleep 0.3
     "$bin/agatectl" config apply --table $platform --objects $platform --base 0 "$document" >/dev/null
     ops=()
@@ -57,9 +57,9 @@
     head=
     stop
 done
-for members in 10 150 1500; do
-    start 2 $members 12 1
-    row "$members members, idle"
+for organisations in 10 150 1500; do
+    start 2 $organisations 12 1
+    row "$organisations organisations, idle"
     stop
 done
 for engines in 12 300 3300; do
