--- /dev/null
+++ b/agateroute_adapter/src/hop.rs
@@ -0,0 +1,27 @@
+//! Header fields that concern only one connection.
+
+use http::{HeaderMap, HeaderName, header};
+
+/// The fields that concern only one connection whatever a message says.
+const HOP_FIELDS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a field is not passed on, since it concerns one connection or is named as such by the
+/// message itself.
+pub fn belongs_to_connection(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let named = |value: &http::HeaderValue| {
+        let fields = value.to_str().unwrap_or_default();
+        fields.split(',').any(|f| f.trim().eq_ignore_ascii_case(name.as_str()))
+    };
+    HOP_FIELDS.binary_search(&name.as_str()).is_ok()
+        || headers.get_all(header::CONNECTION).iter().any(named)
+}
--- /dev/null
+++ b/agateroute_adapter/src/lib.rs
@@ -0,0 +1,15 @@
+//! What a platform has to supply so that agateroute can serve routes on it.
+//!
+//! Each part is a plain struct of functions that decode and encode, and decide nothing. A value of
+//! [`Deployment`] holds one of each. See `docs/PLATFORM.md`.
+
+pub mod caller;
+pub mod deployment;
+pub mod feed;
+pub mod hop;
+pub mod server;
+
+pub use caller::CallerAdapter;
+pub use deployment::{Bounds, Deployment, Listeners};
+pub use feed::{Changes, FeedAdapter, RowChange};
+pub use server::ServerAdapter;
--- a/agateroute_config/src/check.rs
+++ b/agateroute_config/src/check.rs
@@ -201,14 +201,41 @@
         "organisation",
         document.organisations.iter().map(|m| m.name.as_str()),
     );
+    c.unique("/routes", "route", document.routes.iter().map(|r| r.name.as_str()));
     check_floors(c, document);
     check_models(c, document);
     check_services(c, document);
     check_servers(c, document);
     check_organisations(c, document);
+    check_routes(c, document);
     checker.problems
 }
 
+fn check_routes(c: &mut Checker<'_>, document: &Document) {
+    for (i, route) in document.routes.iter().enumerate() {
+        let at = format!("/routes/{i}");
+        check_rank(c, document, &format!("{at}/rank"), &route.name, &route.rank);
+        for (j, target) in route.targets.iter().enumerate() {
+            let name = &target.service;
+            if document.service(name).is_none() && document.model(name).is_none() {
+                let message =
+                    format!("target {name:?} of route {:?} is no model or service", route.name);
+                c.report(&format!("{at}/targets/{j}/service"), message, "declare it");
+            }
+        }
+        if route.targets.iter().all(|t| t.weight == 0) {
+            let message = format!("route {:?} has no target with a weight", route.name);
+            c.report(&at, message, "give one of its targets a weight above 0");
+        }
+        let same = |r: &&crate::route::Route| r.host == route.host && r.prefix == route.prefix;
+        if document.routes[..i].iter().any(|r| same(&r)) {
+            let message =
+                format!("host {:?} and prefix {:?} have two routes", route.host, route.prefix);
+            c.report(&at, message, "remove one");
+        }
+    }
+}
+
 fn check_floors(c: &mut Checker<'_>, document: &Document) {
     let sum: u32 = document.ranks.iter().map(|r| u32::from(r.floor_percent)).sum();
     if sum > 100 {
--- a/agateroute_config/src/document.rs
+++ b/agateroute_config/src/document.rs
@@ -4,6 +4,7 @@
 use crate::model::Model;
 use crate::organisation::Organisation;
 use crate::rank::Rank;
+use crate::route::Route;
 use crate::routing::Routing;
 use crate::server::Server;
 use crate::service::Service;
@@ -23,6 +24,9 @@
         /// The plain services that organisations may call.
         #[serde(default)]
         pub services: Vec<Service>,
+        /// The routes by host and path.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub routes: Vec<Route>,
         /// The backend servers that run models and services.
         #[serde(default)]
         pub servers: Vec<Server>,
--- a/agateroute_config/src/lib.rs
+++ b/agateroute_config/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod organisation;
 pub mod rank;
 pub mod reference;
+pub mod route;
 pub mod routing;
 pub mod schema;
 pub mod server;
--- a/agateroute_config/src/limits.rs
+++ b/agateroute_config/src/limits.rs
@@ -16,6 +16,12 @@
         /// How long a caller may take to send its body, in milliseconds.
         #[schemars(range(min = 100))]
         pub body_ms: u64,
+        /// How long a caller of a route may take to send the head of a request, in milliseconds.
+        #[schemars(range(min = 100))]
+        pub head_ms: u64,
+        /// How long an idle connection of a caller of a route is kept, in milliseconds.
+        #[schemars(range(min = 100))]
+        pub idle_ms: u64,
         /// The longest idempotency key, in bytes.
         #[schemars(range(min = 16, max = 1024))]
         pub key_bytes: u64,
@@ -32,6 +38,8 @@
             header_count: 64,
             header_bytes: 32 * 1024,
             body_ms: 10_000,
+            head_ms: 10_000,
+            idle_ms: 75_000,
             key_bytes: 255,
             organisation_requests: 4_096,
         }
--- a/agateroute_config/src/organisation.rs
+++ b/agateroute_config/src/organisation.rs
@@ -19,6 +19,9 @@
         #[serde(default = "share")]
         #[schemars(range(min = 1))]
         pub share: u32,
+        /// The rank of all its requests on routes, in place of the rank of the route.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub rank: Option<String>,
     }
 
     /// A bearer key. Only its digest is declared.
--- a/agateroute_config/src/routing.rs
+++ b/agateroute_config/src/routing.rs
@@ -19,9 +19,20 @@
         /// How often a request that has produced nothing is started on another backend server.
         #[schemars(range(max = 8))]
         pub retries: u32,
-        /// The retries that an instance may spend, in percent of the requests that arrive.
+        /// The retries that instances may spend on a target in each window, in percent of the
+        /// requests that arrive for it.
         #[schemars(range(max = 100))]
         pub retry_percent: u8,
+        /// The retries beside that share, for each target in each window and over all instances.
+        pub retry_slack: u32,
+        /// The length of the window, in milliseconds.
+        #[schemars(range(min = 100))]
+        pub retry_window_ms: u64,
+        /// The crashes of backend servers under a request after which it is refused.
+        #[schemars(range(min = 1))]
+        pub quarantine_crashes: u32,
+        /// Whether a request runs alone on its server after a crash under it.
+        pub suspects_alone: bool,
         /// How often load reports are read, in milliseconds.
         #[schemars(range(min = 10))]
         pub report_ms: u64,
@@ -67,6 +78,10 @@
             resumes: 3,
             retries: 2,
             retry_percent: 10,
+            retry_slack: 10,
+            retry_window_ms: 10_000,
+            quarantine_crashes: 2,
+            suspects_alone: true,
             report_ms: 500,
             load_ms: 100,
             peer_ms: 2_000,
--- a/agateroute_config/src/server.rs
+++ b/agateroute_config/src/server.rs
@@ -40,10 +40,13 @@
     pub struct Plain {
         /// The service that it runs.
         pub service: String,
-        /// The most calls that it takes at once. The limit in use adapts below this.
+        /// The most calls that it takes at once.
         #[serde(default = "slots")]
         #[schemars(range(min = 1))]
         pub slots: u32,
+        /// Whether the limit in use adapts below that, for servers whose slots are only a guess.
+        #[serde(default = "yes")]
+        pub adaptive: bool,
     }
 
     /// What a backend server does with an old fencing number.
@@ -62,6 +65,10 @@
     64
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn slots() -> u32 {
     32
 }
--- a/agateroute_core/src/admission.rs
+++ b/agateroute_core/src/admission.rs
@@ -50,7 +50,7 @@
             let running = desk.running.len() + desk.foreign_running(around.now);
             running < batch && memory_room(desk, waiting, memory as f64 * part, around)
         }
-        Capacity::Slots(_) => {
+        Capacity::Slots { .. } => {
             let allowed = (desk.limit.allowed() as f64 * part).max(1.0) as usize;
             desk.running.len() + (desk.foreign(around.now) as usize) < allowed
         }
--- a/agateroute_core/src/catalog.rs
+++ b/agateroute_core/src/catalog.rs
@@ -52,8 +52,13 @@
             /// The most generations in one batch.
             batch: u32,
         },
-        /// A plain server: the most calls at once.
-        Slots(u32),
+        /// A plain server.
+        Slots {
+            /// The most calls at once.
+            slots: u32,
+            /// Whether the limit in use adapts below that.
+            adaptive: bool,
+        },
     }
 }
 
@@ -63,8 +68,8 @@
         let servers = document.servers.iter().map(|s| {
             let capacity = match (&s.engine, &s.plain) {
                 (Some(e), _) => Capacity::Engine { memory: e.memory_tokens, batch: e.batch },
-                (None, Some(p)) => Capacity::Slots(p.slots),
-                (None, None) => Capacity::Slots(1),
+                (None, Some(p)) => Capacity::Slots { slots: p.slots, adaptive: p.adaptive },
+                (None, None) => Capacity::Slots { slots: 1, adaptive: true },
             };
             (id(&s.name), ServerInfo { name: s.name.clone(), capacity })
         });
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -41,6 +41,9 @@
 const PREDICTION_SLACK: f64 = 1.25;
 /// The most cached prefixes that are remembered for one engine.
 const CACHED_MOST: usize = 4_096;
+/// How long a desk that reads no load reports stays closed after a sign that its server is gone, in
+/// milliseconds.
+const CLOSED_MS: Millis = 500;
 /// The weight of the newest interval in the mean interval between departures from the queue.
 const INTERVAL_WEIGHT: f64 = 0.1;
 
@@ -101,6 +104,8 @@
         pub limit: Limit,
         /// Whether the server takes no new work.
         pub closed: bool,
+        /// When the desk was closed.
+        pub closed_at: Millis,
         /// Whether the owner stands in for one that others may still use.
         pub acting: bool,
         /// The prefixes that the engine says it has cached, sorted.
@@ -141,9 +146,10 @@
 impl Desk {
     /// An empty desk.
     pub fn new(server: Id, capacity: Capacity, deviations: f64, now: Millis) -> Desk {
-        let most = match capacity {
-            Capacity::Engine { batch, .. } => batch,
-            Capacity::Slots(slots) => slots,
+        let limit = match capacity {
+            Capacity::Engine { batch, .. } => Limit::fixed(batch),
+            Capacity::Slots { slots, adaptive: true } => Limit::new(slots),
+            Capacity::Slots { slots, adaptive: false } => Limit::fixed(slots),
         };
         Desk {
             server,
@@ -153,8 +159,9 @@
             counters: Counters::default(),
             report: None,
             deviations: deviations as f32,
-            limit: Limit::new(most),
+            limit,
             closed: false,
+            closed_at: now,
             acting: false,
             cached: Vec::new(),
             since: now,
@@ -225,7 +232,7 @@
     fn patience(&self, ask: &Ask) -> Millis {
         match self.capacity {
             Capacity::Engine { .. } => u64::from(ask.wait_ms),
-            Capacity::Slots(_) => u64::from(ask.wait_ms).saturating_sub(self.limit.typical_ms()),
+            Capacity::Slots { .. } => u64::from(ask.wait_ms).saturating_sub(self.limit.typical_ms()),
         }
     }
 
@@ -280,7 +287,7 @@
                 );
                 release.whole.then_some((held.class, release.tokens))
             }
-            Capacity::Slots(_) => {
+            Capacity::Slots { .. } => {
                 if release.whole {
                     self.limit.learn(around.now, release.took_ms, running);
                 } else {
@@ -387,6 +394,7 @@
     /// Stops giving permits until the server reports again.
     pub fn close(&mut self, around: &Surroundings<'_>, out: &mut Vec<Reply>) {
         self.closed = true;
+        self.closed_at = around.now;
         // A server that comes back may have lost its cache.
         self.cached.clear();
         self.close_or_pump(around, out);
@@ -435,6 +443,9 @@
                 || running.iter().any(|h| h.class.organisation == organisation && h.rank == rank)
         });
         self.sample(now);
+        if self.closed && self.report.is_none() && now >= self.closed_at + CLOSED_MS {
+            self.closed = false;
+        }
         if self.waiting.is_empty() {
             self.interval = None;
         }
@@ -466,7 +477,7 @@
             Capacity::Engine { .. } => {
                 self.running.iter().map(|h| u64::from(h.prompt) + u64::from(h.tokens)).sum()
             }
-            Capacity::Slots(_) => self.running.len() as u64,
+            Capacity::Slots { .. } => self.running.len() as u64,
         }
     }
 
@@ -511,7 +522,7 @@
                 let filled = share(self.account() as usize, memory as usize);
                 filled.max(share(self.running.len(), batch as usize))
             }
-            Capacity::Slots(_) => share(self.running.len(), self.limit.allowed()),
+            Capacity::Slots { .. } => share(self.running.len(), self.limit.allowed()),
         };
         used + share(self.waiting.len(), 10)
     }
@@ -549,7 +560,7 @@
             Capacity::Engine { .. } => {
                 f64::from(ask.prompt) + admission::expected(around.estimator, class, ask.most)
             }
-            Capacity::Slots(_) => 1.0,
+            Capacity::Slots { .. } => 1.0,
         };
         let rank = ask.rank as u8;
         self.counters.charge(
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -10,6 +10,7 @@
 use crate::event::{End, RequestId, Sign, Ticket};
 use crate::id::{Id, Millis};
 use crate::rendezvous;
+use crate::retry::Allowance;
 use crate::state::State;
 use crate::suspect::Standing;
 
@@ -46,6 +47,8 @@
         pub denied: Option<(Refusal, u32)>,
         /// The attempts on backend servers that failed.
         pub attempts: u32,
+        /// The backend servers that may have begun it.
+        pub begun: u32,
     }
 
     /// A request that runs under a permit.
@@ -62,6 +65,8 @@
         pub reported: u32,
         /// The attempts that failed before this one.
         pub attempts: u32,
+        /// The backend servers that may have begun it before this one.
+        pub begun: u32,
         /// The servers that are not asked for again.
         pub tried: Vec<Id>,
     }
@@ -79,13 +84,24 @@
 impl State {
     /// Takes a new request.
     pub(crate) fn arrive(&mut self, ticket: Ticket) {
-        let percent = self.catalog.routing().retry_percent;
-        self.budget.earn(percent);
-        self.place(ticket, Vec::new(), 0);
+        let allowance = self.allowance();
+        self.budget.earn(ticket.target, self.now, allowance);
+        self.place(ticket, Vec::new(), 0, 0);
     }
 
-    fn place(&mut self, ticket: Ticket, tried: Vec<Id>, attempts: u32) {
-        let alone = match self.suspects.standing(ticket.fingerprint, self.now) {
+    /// What the document allows in retries, with the part of this instance in the slack.
+    fn allowance(&self) -> Allowance {
+        let routing = self.catalog.routing();
+        Allowance {
+            percent: routing.retry_percent,
+            slack: routing.retry_slack,
+            instances: self.membership.known() as u32,
+            window_ms: routing.retry_window_ms,
+        }
+    }
+
+    fn place(&mut self, ticket: Ticket, tried: Vec<Id>, attempts: u32, begun: u32) {
+        let alone = match self.suspects.standing(ticket.fingerprint, self.now, self.catalog.routing()) {
             Standing::Clear => false,
             Standing::Alone => true,
             Standing::Quarantined => {
@@ -103,6 +119,7 @@
             pause: HEDGE_MS,
             denied: None,
             attempts,
+            begun,
         };
         self.entry.pending.insert(request, pending);
         self.ask_next(request);
@@ -147,7 +164,7 @@
         };
         let step = match self.catalog.servers.get(&server).map(|s| s.capacity) {
             Some(Capacity::Engine { batch, .. }) => 1000 / batch.max(1),
-            Some(Capacity::Slots(slots)) => 1000 / slots.max(1),
+            Some(Capacity::Slots { slots, .. }) => 1000 / slots.max(1),
             None => 0,
         };
         self.health.add_pressure(server, step);
@@ -212,6 +229,7 @@
             tokens: 0,
             reported: 0,
             attempts: pending.attempts,
+            begun: pending.begun,
             tried: pending.tried,
         };
         self.entry.running.insert(request, running);
@@ -293,7 +311,7 @@
     /// Ends the work on a backend server: returns the permit, notes what was seen of the server,
     /// and starts the request elsewhere where that is allowed.
     pub(crate) fn ended(&mut self, request: RequestId, end: &End) {
-        let Some(running) = self.entry.running.remove(&request) else { return };
+        let Some(mut running) = self.entry.running.remove(&request) else { return };
         let (tokens, whole, took_ms) = match end {
             End::Whole { tokens, took_ms } => (*tokens, true, *took_ms),
             End::Lost { tokens, .. } | End::Cancelled { tokens } => (*tokens, false, 0),
@@ -310,30 +328,36 @@
             End::Cancelled { .. } => {}
             End::NotStarted { sign } => {
                 self.note_sign(server, running.owner, *sign);
-                self.start_again(running, true);
+                // A refused connection is no arrival at the server, so it costs no retry.
+                self.start_again(running, true, *sign != Sign::Refused);
             }
             End::Lost { sign, again, .. } => {
                 self.note_sign(server, running.owner, *sign);
                 if *sign == Sign::Crashed {
                     self.count_crash(&running.ticket);
                 }
-                self.start_again(running, *again);
+                running.begun += 1;
+                let most = running.ticket.attempts;
+                let again = *again && (most == 0 || running.begun < most);
+                self.start_again(running, again, true);
             }
         }
     }
 
-    fn start_again(&mut self, running: Running, again: bool) {
+    fn start_again(&mut self, running: Running, again: bool, arrived: bool) {
         let request = running.ticket.request;
         let attempts = running.attempts + 1;
         let in_time = self.now < running.ticket.deadline;
         let allowed = again && in_time && attempts <= self.catalog.routing().retries;
-        if !allowed || !self.budget.spend() {
+        let allowance = self.allowance();
+        let target = running.ticket.target;
+        if !allowed || (arrived && !self.budget.spend(target, self.now, allowance)) {
             self.refuse(request, Refusal::Failed, RETRY_MS);
             return;
         }
         let mut tried = running.tried;
         tried.push(running.server);
-        self.place(running.ticket, tried, attempts);
+        self.place(running.ticket, tried, attempts, running.begun);
     }
 
     /// Asks for further servers, refuses what can no longer meet its target, and reports what runs
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -38,6 +38,8 @@
         pub fingerprint: u64,
         /// When the target can no longer be met.
         pub deadline: Millis,
+        /// The most backend servers that may begin the request; 0 leaves it to the document.
+        pub attempts: u32,
     }
 
     /// A load report of a backend server.
--- /dev/null
+++ b/agateroute_core/src/events.rs
@@ -0,0 +1,67 @@
+//! Cuts a stream of server-sent events at the ends of events.
+//!
+//! Only whole events are passed on, so that a stream which is cut in the middle of an event can be
+//! continued after the last whole one. The bytes themselves are not changed.
+
+use bytes::{Bytes, BytesMut};
+
+/// The field that names an event.
+const ID_FIELD: &[u8] = b"id:";
+
+/// Holds back the start of an event until the rest has come.
+#[derive(Clone, Debug, Default)]
+pub struct EventCutter {
+    rest: BytesMut,
+    events: u64,
+    last_id: Option<u64>,
+}
+
+impl EventCutter {
+    /// Takes bytes of the stream and returns those of the events that are whole now.
+    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let searched = self.rest.len().saturating_sub(3);
+        self.rest.extend_from_slice(bytes);
+        let mut end = 0;
+        let mut at = searched;
+        while let Some(next) = event_end(&self.rest, at) {
+            let event = &self.rest[end..next];
+            if let Some(id) = event_id(event) {
+                self.last_id = Some(id);
+            }
+            self.events += 1;
+            (end, at) = (next, next);
+        }
+        self.rest.split_to(end).freeze()
+    }
+
+    /// The bytes after the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        std::mem::take(&mut self.rest).freeze()
+    }
+
+    /// The events that were whole.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// The id of the last whole event that has one.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+}
+
+/// The position after the next empty line.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let rest = &bytes[from..];
+    let plain = rest.windows(2).position(|w| w == b"\n\n").map(|at| from + at + 2);
+    let with_returns = rest.windows(4).position(|w| w == b"\r\n\r\n").map(|at| from + at + 4);
+    match (plain, with_returns) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(ID_FIELD))?;
+    std::str::from_utf8(line.trim_ascii()).ok()?.parse().ok()
+}
--- a/agateroute_core/src/membership.rs
+++ b/agateroute_core/src/membership.rs
@@ -124,6 +124,12 @@
         rendezvous::owner(duty, all.into_iter())
     }
 
+    /// How many instances there may be, this one included: those listed and those not yet forgotten.
+    pub fn known(&self) -> usize {
+        let unlisted = self.peers.keys().filter(|p| !self.listed.contains(p)).count();
+        self.listed.len() + unlisted + 1
+    }
+
     /// Forgets peers that are neither linked, listed, nor heard for `forget_ms`.
     pub fn forget(&mut self, now: Millis, forget_ms: Millis) {
         let listed = &self.listed;
--- /dev/null
+++ b/agateroute_core/src/roster.rs
@@ -0,0 +1,158 @@
+//! The backend servers that the discovery table lists.
+//!
+//! Entries lapse while the table service is away and return soon after it does. So an entry that goes
+//! missing around an outage still counts for a moment; one that goes missing on a calm day is gone.
+
+use crate::Table;
+use crate::id::Millis;
+
+/// How long an entry that lapsed during an outage still counts after the return of the service, in
+/// milliseconds: entries of servers that live are back within about two seconds.
+const LAPSE_MS: Millis = 1_800;
+/// How long after an outage an entry that goes missing counts as lapsed, in milliseconds. After that
+/// it is gone at once.
+const OUTAGE_ECHO_MS: Millis = 2_000;
+
+record! {
+    /// A backend server in the discovery table.
+    pub struct Listing {
+        /// The name, which a restarted server mostly changes.
+        pub name: String,
+        /// The model or plain service that it runs.
+        pub service: String,
+        /// The IP address and port.
+        pub address: String,
+        /// The availability zone.
+        pub zone: String,
+        /// The requests that it works on at once.
+        pub slots: u32,
+        /// Whether it takes new work.
+        pub ready: bool,
+        /// When it started, in milliseconds since 1970; tells a restart under the same name.
+        pub born: u64,
+    }
+
+    struct Row {
+        revision: u64,
+        listing: Listing,
+        /// Until when a row that went missing still counts.
+        lapses: Option<Millis>,
+    }
+}
+
+value! {
+    /// What a change of a row did to the roster.
+    pub enum Change {
+        /// Nothing that matters for choosing a server.
+        None,
+        /// A server came, changed or went.
+        Servers,
+    }
+}
+
+/// The listed backend servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Roster {
+    rows: Table<String, Row>,
+    failed: Option<Millis>,
+    away: bool,
+}
+
+impl Roster {
+    /// Notes that the table service did not answer.
+    pub fn service_failed(&mut self, now: Millis) {
+        self.failed = Some(now);
+        self.away = true;
+    }
+
+    /// Notes that the table service answered.
+    pub fn service_answered(&mut self, now: Millis) {
+        if std::mem::take(&mut self.away) {
+            self.failed = Some(now);
+            // The outage ends now, so what lapsed during it has to return from now on.
+            for (_, row) in self.rows.iter_mut() {
+                row.lapses = row.lapses.map(|_| now + LAPSE_MS);
+            }
+        }
+    }
+
+    /// Takes over a row as it stands at a revision; no listing where it names no server or was
+    /// removed.
+    pub fn set(
+        &mut self,
+        now: Millis,
+        name: &str,
+        revision: u64,
+        listing: Option<Listing>,
+    ) -> Change {
+        let known = self.rows.get(&name.to_owned());
+        if known.is_some_and(|row| row.revision > revision) {
+            return Change::None;
+        }
+        match listing {
+            Some(listing) => {
+                let same = known.is_some_and(|r| r.listing == listing);
+                self.rows.insert(name.to_owned(), Row { revision, listing, lapses: None });
+                if same { Change::None } else { Change::Servers }
+            }
+            None => self.remove(now, name),
+        }
+    }
+
+    fn remove(&mut self, now: Millis, name: &str) -> Change {
+        let outage = self.away || self.failed.is_some_and(|at| now < at + OUTAGE_ECHO_MS);
+        let Some(row) = self.rows.get_mut(&name.to_owned()) else { return Change::None };
+        if outage && row.listing.ready {
+            row.lapses = row.lapses.or(Some(now + LAPSE_MS));
+            return Change::None;
+        }
+        self.rows.remove(&name.to_owned());
+        Change::Servers
+    }
+
+    /// Takes over all rows as they stand at a revision; what is not among them is missing.
+    pub fn set_all(
+        &mut self,
+        now: Millis,
+        revision: u64,
+        listings: Vec<(String, u64, Option<Listing>)>,
+    ) -> Change {
+        let mut change = Change::None;
+        let mut names: Vec<String> = Vec::new();
+        for (name, row_revision, listing) in listings {
+            change = change.max(self.set(now, &name, row_revision, listing));
+            names.push(name);
+        }
+        names.sort_unstable();
+        let missing: Vec<String> = self
+            .rows
+            .iter()
+            .filter(|(name, row)| row.revision <= revision && names.binary_search(name).is_err())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in missing {
+            change = change.max(self.remove(now, &name));
+        }
+        change
+    }
+
+    /// Drops the rows whose grace is over.
+    pub fn expire(&mut self, now: Millis) -> Change {
+        if self.away {
+            return Change::None;
+        }
+        let before = self.rows.len();
+        self.rows.retain(|_, row| row.lapses.is_none_or(|until| now < until));
+        if self.rows.len() < before { Change::Servers } else { Change::None }
+    }
+
+    /// The servers that take new work, by name.
+    pub fn ready(&self) -> impl Iterator<Item = &Listing> {
+        self.rows.values().map(|r| &r.listing).filter(|l| l.ready)
+    }
+
+    /// The listing of a server, also of one that is leaving.
+    pub fn listing(&self, name: &str) -> Option<&Listing> {
+        self.rows.get(&name.to_owned()).map(|r| &r.listing)
+    }
+}
--- /dev/null
+++ b/agateroute_core/src/routes.rs
@@ -0,0 +1,54 @@
+//! Finds the route of a request by host and longest prefix, and the target that serves it.
+
+use std::sync::Arc;
+
+use agateroute_config::Document;
+use agateroute_config::route::Route;
+
+/// The routes of a document, sorted by host and prefix.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    document: Option<Arc<Document>>,
+    order: Vec<u32>,
+}
+
+impl RouteTable {
+    /// The routes of a document.
+    pub fn new(document: &Arc<Document>) -> RouteTable {
+        let mut order: Vec<u32> = (0..document.routes.len() as u32).collect();
+        order.sort_by_key(|i| place(&document.routes[*i as usize]));
+        RouteTable { document: Some(document.clone()), order }
+    }
+
+    /// The route of a path on a host: the one with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let document = self.document.as_ref()?;
+        let route = |i: &u32| &document.routes[*i as usize];
+        // Prefixes end with a slash, so only the parts of the path up to a slash can be one.
+        let ends = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/');
+        for (end, _) in ends {
+            let wanted = (host, &path[..=end]);
+            if let Ok(at) = self.order.binary_search_by(|i| place(route(i)).cmp(&wanted)) {
+                return Some(route(&self.order[at]));
+            }
+        }
+        None
+    }
+}
+
+fn place(route: &Route) -> (&str, &str) {
+    (&route.host, &route.prefix)
+}
+
+/// The name of the target that a draw picks, in proportion to the weights. `draw` is below 1.
+pub fn pick_target(route: &Route, draw: f64) -> Option<&str> {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    let mut left = draw * total as f64;
+    for target in route.targets.iter().filter(|t| t.weight > 0) {
+        left -= f64::from(target.weight);
+        if left < 0.0 {
+            return Some(&target.service);
+        }
+    }
+    route.targets.iter().rfind(|t| t.weight > 0).map(|t| t.service.as_str())
+}
--- a/agateroute_core/src/slots.rs
+++ b/agateroute_core/src/slots.rs
@@ -21,6 +21,7 @@
 pub struct Limit {
     limit: f64,
     most: f64,
+    adaptive: bool,
     shortest: Option<f64>,
     typical: f64,
     shrunk: Millis,
@@ -30,7 +31,14 @@
     /// A limit that starts at half of the most that is declared.
     pub fn new(most: u32) -> Limit {
         let most = f64::from(most.max(1));
-        Limit { limit: (most / 2.0).max(1.0), most, shortest: None, typical: 0.0, shrunk: 0 }
+        let limit = (most / 2.0).max(1.0);
+        Limit { limit, most, adaptive: true, shortest: None, typical: 0.0, shrunk: 0 }
+    }
+
+    /// A limit that stays at what the server itself declares.
+    pub fn fixed(most: u32) -> Limit {
+        let limit = f64::from(most.max(1));
+        Limit { limit, adaptive: false, ..Limit::new(most) }
     }
 
     /// The calls allowed at once.
@@ -58,7 +66,7 @@
 
     /// Shrinks the limit, at most once for each time that a call takes.
     pub fn shrink(&mut self, now: Millis, took_ms: u32) {
-        if now < self.shrunk + u64::from(took_ms) {
+        if !self.adaptive || now < self.shrunk + u64::from(took_ms) {
             return;
         }
         self.limit = (self.limit * SHRINK_FACTOR).max(1.0);
--- a/agateroute_core/src/suspect.rs
+++ b/agateroute_core/src/suspect.rs
@@ -1,14 +1,14 @@
 //! Requests that ran on backend servers that crashed.
 //!
 //! After one crash a request runs alone, so that it harms nobody else and is told from the innocent
-//! ones that ran beside it. After its second crash it is quarantined. See `docs/DESIGN.md`,
+//! ones that ran beside it. After as many crashes as the document says it is quarantined. See `docs/DESIGN.md`,
 //! "Requests that crash servers".
 
+use agateroute_config::routing::Routing;
+
 use crate::Table;
 use crate::id::Millis;
 
-/// The crashes after which a request is quarantined.
-const QUARANTINE_CRASHES: u32 = 2;
 /// How long a request is remembered, in milliseconds.
 const REMEMBER_MS: Millis = 3_600_000;
 /// The most requests that are remembered.
@@ -39,12 +39,12 @@
 
 impl Suspects {
     /// How a request may run.
-    pub fn standing(&self, fingerprint: u64, now: Millis) -> Standing {
-        match self.records.get(&fingerprint) {
-            Some(r) if r.until <= now => Standing::Clear,
-            Some(r) if r.crashes >= QUARANTINE_CRASHES => Standing::Quarantined,
-            Some(_) => Standing::Alone,
-            None => Standing::Clear,
+    pub fn standing(&self, fingerprint: u64, now: Millis, routing: &Routing) -> Standing {
+        match self.crashes(fingerprint, now) {
+            0 => Standing::Clear,
+            crashes if crashes >= routing.quarantine_crashes => Standing::Quarantined,
+            _ if routing.suspects_alone => Standing::Alone,
+            _ => Standing::Clear,
         }
     }
 
--- a/agateroute_core/tests/world/mod.rs
+++ b/agateroute_core/tests/world/mod.rs
@@ -279,6 +279,7 @@
             shared: 0,
             fingerprint: request,
             deadline: self.now + promise.first_token_ms,
+            attempts: 0,
         }
     }
 
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -274,6 +274,10 @@
     /// The whole document, empty where the caller is up to date.
     #[prost(string, tag = "2")]
     pub document: ::prost::alloc::string::String,
+    /// How long ago the sender knew this version to be the newest, in milliseconds, plus one; 0 where it
+    /// never did.
+    #[prost(uint64, tag = "3")]
+    pub reading_age: u64,
 }
 /// Why a permit was not given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/agateroute_storage/src/error.rs
+++ b/agateroute_storage/src/error.rs
@@ -29,6 +29,9 @@
     /// The service limits the rate.
     #[display("rate limited")]
     Throttled,
+    /// The history that was asked for is no longer kept.
+    #[display("history gone")]
+    Gone,
     /// The service answered with an error.
     #[display("status {_0}: {_1}")]
     Status(u16, String),
--- a/agaterouted/src/args.rs
+++ b/agaterouted/src/args.rs
@@ -10,8 +10,11 @@
 #[bpaf(options, version)]
 pub struct Args {
     /// The settings of this instance
-    #[bpaf(short, long, argument("FILE"))]
-    pub settings: PathBuf,
+    #[bpaf(short, long, argument("FILE"), optional)]
+    pub settings: Option<PathBuf>,
+    /// Take the settings from the platform and serve its routes
+    #[bpaf(long, switch)]
+    pub platform: bool,
     /// Use this name instead of the one in the settings
     #[bpaf(long, argument("NAME"))]
     pub instance: Option<String>,
--- /dev/null
+++ b/agaterouted/src/attempt.rs
@@ -0,0 +1,177 @@
+//! One attempt of a request on one backend server, up to its whole answer or the head of its stream.
+
+use std::time::Duration;
+
+use agateroute_adapter::server::{Judgement, Order};
+use agateroute_core::event::Sign;
+use bytes::Bytes;
+use http::{Request, StatusCode, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::routed::Routed;
+use crate::serve::{ANSWER_MOST, Call};
+use crate::shell::ServerRef;
+use crate::upstream::{Connection, SendError};
+
+/// How long after a cut connection its server is asked whether it is still there, so that a server that
+/// is just crashing has closed its port.
+const CRASH_PAUSE: Duration = Duration::from_millis(30);
+
+/// What came of an attempt.
+pub enum Attempt {
+    /// The whole answer.
+    Answered(Answer),
+    /// The head of a stream.
+    Streams(Stream),
+    /// Nothing of the request has run.
+    NotStarted(Sign),
+    /// The server may have run it and its answer is lost.
+    Lost(Sign),
+    /// The time was over.
+    TimedOut,
+}
+
+/// A whole answer.
+pub struct Answer {
+    /// The head.
+    pub head: response::Parts,
+    /// The body.
+    pub body: Bytes,
+    /// How long the server took.
+    pub took: Duration,
+}
+
+/// A stream whose head has come.
+pub struct Stream {
+    /// The head.
+    pub head: response::Parts,
+    /// The body.
+    pub body: Incoming,
+    /// The connection, which has to live as long as the body is read.
+    pub connection: Connection,
+    /// What the head says.
+    pub judgement: Judgement,
+}
+
+/// Sends a request to a server. `last_event` is the last event that the caller has, where a stream is
+/// continued.
+pub async fn make(
+    routed: &Routed,
+    call: &Call,
+    server: &ServerRef,
+    last_event: Option<u64>,
+) -> Attempt {
+    let started = Instant::now();
+    let request = encode(routed, call, server, last_event);
+    let reuse = call.route.kind.repeatable();
+    let sent = routed.upstream.send(server, request, reuse);
+    let attempt = match tokio::time::timeout_at(call.limit, sent).await {
+        Ok(Ok((response, connection))) => {
+            receive(routed, call, response, connection, started).await
+        }
+        Ok(Err(error)) => failed(routed, server, &error).await,
+        Err(_) => Attempt::TimedOut,
+    };
+    log(routed, call, server, &attempt, started);
+    attempt
+}
+
+fn encode(
+    routed: &Routed,
+    call: &Call,
+    server: &ServerRef,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let in_force = routed.shell.in_force();
+    let key = (routed.deployment.callers.read)(&call.headers).key;
+    let organisation = key.and_then(|k| in_force.keys.find(k));
+    let organisation = organisation.map(|at| in_force.document.organisations[at].name.as_str());
+    let left = call.deadline.map(|d| d.min(call.limit).saturating_duration_since(Instant::now()));
+    let order = Order {
+        server: &server.name,
+        organisation,
+        left_ms: left.map(|l| l.as_millis() as u64),
+        rank: call.rank,
+        last_event,
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    match call.path.parse() {
+        Ok(uri) => *request.uri_mut() = uri,
+        Err(error) => {
+            spdlog::error!("path_not_encoded", kv: { request: = &*call.id, error: });
+        }
+    }
+    *request.headers_mut() = (routed.deployment.servers.headers)(&call.headers, &order);
+    request
+}
+
+async fn receive(
+    routed: &Routed,
+    call: &Call,
+    response: hyper::Response<Incoming>,
+    connection: Connection,
+    started: Instant,
+) -> Attempt {
+    let (head, body) = response.into_parts();
+    let judgement = (routed.deployment.servers.judge)(&head);
+    let own = judgement.id.as_deref() == Some(&*call.id);
+    if judgement.refused && (own || judgement.id.is_none()) {
+        let sign = if judgement.misdirected { Sign::Leaving } else { Sign::Nothing };
+        return Attempt::NotStarted(sign);
+    }
+    if !own || judgement.encoded {
+        return Attempt::Lost(Sign::Nothing);
+    }
+    if call.route.kind.streams() && head.status == StatusCode::OK {
+        return Attempt::Streams(Stream { head, body, connection, judgement });
+    }
+    let read = Limited::new(body, ANSWER_MOST).collect();
+    match tokio::time::timeout_at(call.limit, read).await {
+        Ok(Ok(body)) => {
+            if !judgement.closing {
+                routed.upstream.keep(connection, judgement.keeps);
+            }
+            Attempt::Answered(Answer { head, body: body.to_bytes(), took: started.elapsed() })
+        }
+        Ok(Err(_)) => Attempt::Lost(Sign::Nothing),
+        Err(_) => Attempt::TimedOut,
+    }
+}
+
+async fn failed(routed: &Routed, server: &ServerRef, error: &SendError) -> Attempt {
+    match error {
+        SendError::NotConnected(_) | SendError::NotSent(_) => Attempt::NotStarted(Sign::Refused),
+        SendError::Lost(_) => Attempt::Lost(crash_sign(routed, server).await),
+    }
+}
+
+/// Whether a server whose connection was cut has crashed: it accepts no new one.
+pub async fn crash_sign(routed: &Routed, server: &ServerRef) -> Sign {
+    tokio::time::sleep(CRASH_PAUSE).await;
+    if routed.upstream.accepts(server).await { Sign::Nothing } else { Sign::Crashed }
+}
+
+fn log(routed: &Routed, call: &Call, server: &ServerRef, attempt: &Attempt, started: Instant) {
+    let (outcome, status) = match attempt {
+        Attempt::Answered(answer) => ("answered", answer.head.status.as_u16()),
+        Attempt::Streams(stream) => ("streams", stream.head.status.as_u16()),
+        Attempt::NotStarted(Sign::Refused) => ("not_connected", 0),
+        Attempt::NotStarted(_) => ("not_started", 0),
+        Attempt::Lost(Sign::Crashed) => ("server_crashed", 0),
+        Attempt::Lost(_) => ("lost", 0),
+        Attempt::TimedOut => ("timed_out", 0),
+    };
+    spdlog::info!("attempt", kv: {
+        request: = &*call.id,
+        route: = call.route.name.as_str(),
+        server: = &*server.name,
+        outcome,
+        status,
+        took_ms = started.elapsed().as_millis() as u64,
+        version = routed.shell.in_force().version,
+        reading_age_ms = routed.reading_age(),
+    });
+}
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -134,6 +134,7 @@
         shared: 0,
         fingerprint: mix(mix(organisation, kind), content),
         deadline: shell.now() + document.ranks[rank].answer_ms,
+        attempts: 0,
     }
 }
 
--- a/agaterouted/src/clock.rs
+++ b/agaterouted/src/clock.rs
@@ -1,7 +1,18 @@
-//! Wall-clock times, for records and pages only: decisions use the monotonic clock.
+//! Clocks beside the monotonic one: the time of day, for records and pages only, and the clock that
+//! counts suspension.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use agateroute_core::id::Millis;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Milliseconds of the clock that goes on while the machine is suspended. Whatever has to hold on a
+/// machine that wakes up again is measured on it.
+pub fn boot_millis() -> Millis {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as Millis * 1000 + now.tv_nsec as Millis / 1_000_000
+}
+
 /// Milliseconds since 1970.
 pub fn unix_millis() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
--- /dev/null
+++ b/agaterouted/src/gate.rs
@@ -0,0 +1,288 @@
+//! The listener for callers of routes.
+//!
+//! It is built on hyper, since a caller that closes its connection has to be noticed while its
+//! request waits; the HTTP library of the other listeners reads nothing in that time. See
+//! `docs/DESIGN.md`, "The listener for routes".
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::routed::Routed;
+use crate::serve;
+use crate::shell::millis;
+
+/// How often a connection is looked at for a slow head or a long idle time.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// The pause after a connection could not be accepted, for lack of descriptors say.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The most header fields of one request.
+const HEADERS_MOST: usize = 100;
+/// The least that the HTTP library buffers for a head, in bytes.
+const HEAD_LEAST: usize = 8 * 1024;
+/// The longest head that is read before a document says otherwise, in bytes.
+const HEAD_MOST: usize = 64 * 1024;
+
+/// The error that ends an answer which can not be completed.
+pub type CutError = Box<dyn std::error::Error + Send + Sync>;
+/// The body of an answer.
+pub type GateBody = UnsyncBoxBody<Bytes, CutError>;
+
+/// A body that is in memory.
+pub fn whole(bytes: impl Into<Bytes>) -> GateBody {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Accepts connections of callers, until cancelled.
+pub async fn accept(routed: Arc<Routed>, listener: TcpListener, cancel: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            () = cancel.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(routed.clone(), stream));
+            }
+            Err(error) => {
+                spdlog::warn!("connection_not_accepted", kv: { error: });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// What a connection is doing.
+#[derive(Debug)]
+struct Phase {
+    state: Mutex<(bool, Option<Instant>, Instant)>,
+}
+
+impl Phase {
+    fn update(&self, change: impl FnOnce(&mut (bool, Option<Instant>, Instant))) {
+        change(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    fn began(&self) {
+        self.update(|(busy, head, _)| (*busy, *head) = (true, None));
+    }
+
+    fn ended(&self) {
+        self.update(|(busy, _, since)| (*busy, *since) = (false, Instant::now()));
+    }
+
+    fn read(&self) {
+        self.update(|(busy, head, _)| {
+            if !*busy && head.is_none() {
+                *head = Some(Instant::now());
+            }
+        });
+    }
+
+    /// Whether the head of a request or the next request is overdue.
+    fn overdue(&self, head_time: Duration, idle_time: Duration) -> bool {
+        let (busy, head, since) = *self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        match head {
+            _ if busy => false,
+            Some(at) => at.elapsed() > head_time,
+            None => since.elapsed() > idle_time,
+        }
+    }
+}
+
+async fn connection(routed: Arc<Routed>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::debug!("nodelay_not_set", kv: { error: });
+    }
+    let phase = Arc::new(Phase { state: Mutex::new((false, None, Instant::now())) });
+    let io = Watched { io: TokioIo::new(stream), phase: phase.clone() };
+    let limits = routed.shell.in_force().document.limits.clone();
+    let head_most = (limits.header_bytes as usize * 2).clamp(HEAD_LEAST, HEAD_MOST);
+    let handler = {
+        let (routed, phase) = (routed.clone(), phase.clone());
+        move |request| answer(routed.clone(), phase.clone(), request)
+    };
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(head_most)
+        .max_headers(HEADERS_MOST)
+        .serve_connection(io, service_fn(handler));
+    let mut served = std::pin::pin!(served);
+    loop {
+        tokio::select! {
+            ended = served.as_mut() => {
+                if let Err(error) = ended {
+                    spdlog::debug!("caller_connection_ended", kv: { error: });
+                }
+                return;
+            }
+            () = tokio::time::sleep(WATCH_PAUSE) => {
+                let limits = &routed.shell.in_force().document.limits;
+                if phase.overdue(millis(limits.head_ms), millis(limits.idle_ms)) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn answer(
+    routed: Arc<Routed>,
+    phase: Arc<Phase>,
+    request: Request<Incoming>,
+) -> Result<Response<Watching>, Infallible> {
+    phase.began();
+    let guard = BusyGuard { phase, ended: AtomicBool::new(false) };
+    let response = serve::handle(routed, request).await;
+    Ok(response.map(|body| Watching { body, guard }))
+}
+
+/// Marks a connection as idle again when its answer is done or dropped.
+struct BusyGuard {
+    phase: Arc<Phase>,
+    ended: AtomicBool,
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        if !self.ended.swap(true, Ordering::Relaxed) {
+            self.phase.ended();
+        }
+    }
+}
+
+/// The body of an answer together with the mark that its connection is busy.
+pub struct Watching {
+    body: GateBody,
+    #[allow(dead_code, reason = "its drop marks the connection as idle")]
+    guard: BusyGuard,
+}
+
+impl Body for Watching {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A connection that notes when bytes of a request arrive.
+struct Watched {
+    io: TokioIo<TcpStream>,
+    phase: Arc<Phase>,
+}
+
+impl Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) {
+            self.phase.read();
+        }
+        read
+    }
+}
+
+impl Write for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+}
+
+/// Serves the balancer's question and the metrics, until cancelled.
+pub async fn serve_pages(
+    routed: Arc<Routed>,
+    listener: TcpListener,
+    page: fn(&Routed, &str) -> Response<Full<Bytes>>,
+    cancel: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = cancel.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let routed = routed.clone();
+        tokio::spawn(async move {
+            let handler = service_fn(move |request: Request<Incoming>| {
+                let response = page(&routed, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(PAGE_IDLE)
+                .serve_connection(TokioIo::new(stream), handler);
+            if let Err(error) = served.await {
+                spdlog::debug!("page_connection_ended", kv: { error: });
+            }
+        });
+    }
+}
+
+/// How long a connection for pages is kept while it is idle.
+const PAGE_IDLE: Duration = Duration::from_secs(30);
+
+/// An answer with a short text.
+pub fn page(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -418,5 +418,6 @@
         shared: if prefix == 0 { 0 } else { (PREFIX_BYTES / BYTES_PER_TOKEN) as u32 },
         fingerprint: mix(mix(organisation, kind), id_of_bytes(body)),
         deadline: shell.now() + document.ranks[declared.rank].first_token_ms,
+        attempts: 0,
     }
 }
--- a/agaterouted/src/jobs.rs
+++ b/agaterouted/src/jobs.rs
@@ -63,17 +63,17 @@
 async fn carry_out(shell: Arc<Shell>, job: Job) {
     match job {
         Job::Transact { shard, claims } => {
-            let outcome = match &shell.platform {
-                Some(platform) => transact(&shell, &platform.table, &claims).await,
+            let outcome = match &shell.table {
+                Some(table) => transact(&shell, table, &claims).await,
                 None => Transacted::Failed,
             };
             shell.apply(Event::Transacted { shard, outcome });
         }
         Job::KeepSuspect { fingerprint, crashes } => {
-            if let Some(platform) = &shell.platform {
+            if let Some(table) = &shell.table {
                 let row = suspect_row(fingerprint, crashes);
                 let write = Write { row: &row, condition: Condition::Always };
-                if let Err(error) = platform.table.transact(&[write]).await {
+                if let Err(error) = table.transact(&[write]).await {
                     spdlog::warn!("suspect_not_kept", kv: { error: });
                 }
             }
@@ -134,9 +134,9 @@
 
 /// Reads the suspect requests that the table service keeps, until it answers.
 pub async fn read_suspects(shell: Arc<Shell>, cancel: CancellationToken) {
-    let Some(platform) = &shell.platform else { return };
+    let Some(table) = &shell.table else { return };
     loop {
-        if let Ok(rows) = platform.table.query(SUSPECTS_PARTITION, " ", SUSPECTS_MOST).await {
+        if let Ok(rows) = table.query(SUSPECTS_PARTITION, " ", SUSPECTS_MOST).await {
             for row in rows {
                 let fingerprint = u64::from_str_radix(&row.sort, 16);
                 if let (Ok(fingerprint), Ok(crashes)) = (fingerprint, row.tag.parse()) {
--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -76,14 +76,19 @@
     }
 
     async fn fetch(&self, request: Request<FetchRequest>) -> Result<Response<FetchReply>, Status> {
+        // The age is taken first, so that it never makes a document look fresher than it is.
+        let reading_age = self.shell.reading_age().map_or(0, |age| age + 1);
         let in_force = self.shell.in_force();
         if !self.shell.configured() || in_force.version <= request.get_ref().version {
-            let reply = FetchReply { version: in_force.version, document: String::new() };
-            return Ok(Response::new(reply));
+            let version = in_force.version;
+            return Ok(Response::new(FetchReply { version, document: String::new(), reading_age }));
         }
-        let document = serde_json::to_string(&*in_force.document)
-            .map_err(|e| Status::internal(format!("document not written: {e}")))?;
-        Ok(Response::new(FetchReply { version: in_force.version, document }))
+        let document = match self.shell.handout() {
+            Some(text) => text.to_string(),
+            None => serde_json::to_string(&*in_force.document)
+                .map_err(|e| Status::internal(format!("document not written: {e}")))?,
+        };
+        Ok(Response::new(FetchReply { version: in_force.version, document, reading_age }))
     }
 }
 
--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -15,7 +15,7 @@
 use crate::jobs::Job;
 use crate::shell::{Shell, millis};
 use crate::telemetry::Telemetry;
-use crate::{fleet, follow, front, jobs, log, ops, peers, stream, tallies, watch};
+use crate::{fleet, follow, front, jobs, log, ops, peers, routed, stream, tallies, watch};
 
 /// The most header fields that the HTTP library parses.
 const HEADERS_MOST: usize = 128;
@@ -35,14 +35,21 @@
     cause: String,
 }
 
-fn fail<E: Display>(step: &'static str) -> impl FnOnce(E) -> StartError {
+/// The error of a step that failed at start.
+pub fn fail<E: Display>(step: &'static str) -> impl FnOnce(E) -> StartError {
     move |e| StartError { step, cause: e.to_string() }
 }
 
 /// Runs an instance until it is told to stop.
 pub fn run(args: &Args) -> Result<(), StartError> {
-    let file = args.settings.display().to_string();
-    let text = std::fs::read_to_string(&args.settings).map_err(fail("settings"))?;
+    if args.platform {
+        return routed::run(agateroute_platform::deployment().map_err(fail("settings"))?);
+    }
+    let Some(path) = &args.settings else {
+        return Err(fail("arguments")("one of --settings and --platform is needed"));
+    };
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(fail("settings"))?;
     let mut settings = parse_settings(&file, &text).map_err(fail("settings"))?;
     args.override_settings(&mut settings);
     log::start(&settings.telemetry.level).map_err(fail("logs"))?;
--- /dev/null
+++ b/agaterouted/src/serve.rs
@@ -0,0 +1,443 @@
+//! Serves one request of a caller on a route: from its head to its one final answer.
+//!
+//! The way of a request: the head is read and checked here, a permit is waited for, the request is sent
+//! ([`crate::attempt`]), and its answer is passed on, whole from here or as a stream by
+//! [`crate::passage`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agateroute_config::route::{Route, RouteKind};
+use agateroute_core::catalog::{model_id, service_id};
+use agateroute_core::effect::Refusal;
+use agateroute_core::event::{End, Ticket};
+use agateroute_core::id;
+use agateroute_core::id::{Id, id_of_bytes, mix};
+use agateroute_core::routes::pick_target;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request, response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use opentelemetry::trace::SpanKind;
+use tokio::time::Instant;
+
+use crate::account::{Account, Ended, Subject, Targets};
+use crate::attempt::{self, Answer, Attempt};
+use crate::error::{ApiError, OUTCOME_HEADER, Outcome};
+use crate::gate::{GateBody, whole};
+use crate::passage::{self, Passage};
+use crate::routed::Routed;
+use crate::shell::{Admission, InForce, Permit, ServerRef, millis};
+use crate::telemetry::extract;
+
+/// The longest answer of a plain call that is held to see whether it is whole, in bytes.
+pub const ANSWER_MOST: usize = 16 * 1024 * 1024;
+/// How long before the caller stops waiting its final answer has to be on the way.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
+/// When asking again makes sense where nothing better is known, in milliseconds.
+const RETRY_MS: u32 = 1_000;
+/// When asking again makes sense while no document is in force or it can not be read, in milliseconds.
+const UNREADY_RETRY_MS: u32 = 500;
+/// How old a reading may be so that a route or key that it does not name does not exist, in
+/// milliseconds. An older one may just have missed it.
+const KNOWN_MS: u64 = 2_000;
+/// The part of the time that a caller has left in which a stream has to start, as a divisor.
+const STREAM_WAIT_DIVISOR: u32 = 2;
+/// The name of those who need no key, in logs and metrics.
+const PUBLIC: &str = "public";
+
+/// A request of a caller that was read whole.
+#[derive(Debug)]
+pub struct Call {
+    /// The id for logs.
+    pub id: Arc<str>,
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub path: String,
+    /// The header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The host, in lower case and without a port.
+    pub host: String,
+    /// The route at arrival.
+    pub route: Route,
+    /// The rank.
+    pub rank: u8,
+    /// When the caller stops waiting.
+    pub deadline: Option<Instant>,
+    /// When the final answer has to be there.
+    pub limit: Instant,
+}
+
+/// Serves one request. Whatever happens, the caller gets an answer.
+pub async fn handle(routed: Arc<Routed>, request: Request<Incoming>) -> Response<GateBody> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let id = (routed.deployment.callers.read)(&head.headers).id;
+    let id: Arc<str> = id.unwrap_or("-").into();
+    let answer = serve(&routed, head, body, &id, arrived).await;
+    let mut response = answer.unwrap_or_else(|e| {
+        spdlog::info!("request_refused", kv: {
+            request: = &*id,
+            status = e.status.as_u16(),
+            code = e.code,
+            outcome = e.outcome.as_str(),
+            retry_ms = e.retry_ms,
+            after_ms = arrived.elapsed().as_millis() as u64,
+            version = routed.shell.in_force().version,
+            reading_age_ms = routed.reading_age(),
+        });
+        error_response(&routed, &e, &id)
+    });
+    if routed.shell.leaving() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// The answer that carries an error of this instance.
+fn error_response(routed: &Routed, error: &ApiError, id: &str) -> Response<GateBody> {
+    let mut response = Response::new(whole(error.to_json(id)));
+    *response.status_mut() = error.status;
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(error.outcome.as_str()));
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert(routed.deployment.callers.id_header, value);
+    }
+    if error.retry_ms > 0 {
+        let seconds = format!("{:.2}", f64::from(error.retry_ms) / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+async fn serve(
+    routed: &Arc<Routed>,
+    head: request::Parts,
+    body: Incoming,
+    id: &Arc<str>,
+    arrived: Instant,
+) -> Result<Response<GateBody>, ApiError> {
+    let in_force = routed.shell.in_force();
+    if !routed.shell.configured() {
+        return Err(unready("no document is in force yet"));
+    }
+    let host = host_of(&head);
+    let route = find_route(routed, &in_force, &host, head.uri.path())?.clone();
+    let organisation = permitted(routed, &in_force, &route, &head.headers)?;
+    let body = read_body(body, &in_force, millis(route.timeout_ms)).await?;
+    let facts = (routed.deployment.callers.read)(&head.headers);
+    let deadline = facts.deadline_ms.map(|ms| arrived + millis(ms));
+    let due = arrived + millis(route.timeout_ms);
+    let limit = deadline.map_or(due, |d| (d - DEADLINE_MARGIN).min(due));
+    let ranked = organisation.as_ref().and_then(|o| o.rank.as_deref()).unwrap_or(&route.rank);
+    let rank = in_force.document.rank_index(ranked).unwrap_or(0) as u8;
+    let organisation: Arc<str> = organisation.map_or(PUBLIC, |o| o.name.as_str()).into();
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+    let subject = Subject {
+        request: id.clone(),
+        organisation: organisation.clone(),
+        kind: route.name.as_str().into(),
+        rank: ranked.into(),
+    };
+    let targets = Targets {
+        first: millis(route.target_ms),
+        between: if route.gap_ms > 0 { millis(route.gap_ms) } else { Duration::MAX },
+        answer: millis(route.target_ms),
+    };
+    let context = routed.shell.telemetry.span("caller", SpanKind::Server, &extract(&head.headers));
+    let account = Account::open(&routed.shell, subject, targets, context)?;
+    let ticket = ticket(routed, &in_force, &route, &facts, &organisation, rank, limit, &path, &body);
+    let (method, headers) = (head.method.clone(), head.headers.clone());
+    drop(facts);
+    let id = id.clone();
+    let call = Arc::new(Call { id, method, path, headers, body, host, route, rank, deadline, limit });
+    run(routed, call, account, ticket).await
+}
+
+fn host_of(head: &request::Parts) -> String {
+    let named = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = named.or_else(|| head.uri.host()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(host, _)| host);
+    host.to_ascii_lowercase()
+}
+
+/// The route of a request. What a stale document does not name may exist all the same.
+fn find_route<'a>(
+    routed: &Routed,
+    in_force: &'a InForce,
+    host: &str,
+    path: &str,
+) -> Result<&'a Route, ApiError> {
+    in_force.routes.find(host, path).ok_or_else(|| {
+        if routed.reading_age() > KNOWN_MS {
+            return unready("the document can not be read, so this route may exist");
+        }
+        let message = format!("no route for host {host:?} and path {path:?}");
+        ApiError::not_run(StatusCode::NOT_FOUND, "route_not_found", message)
+    })
+}
+
+/// The organisation of a request, unless the route needs none. The key has to be known by a document
+/// that was read lately, since it may have been withdrawn.
+pub fn permitted<'a>(
+    routed: &Routed,
+    in_force: &'a InForce,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<&'a agateroute_config::organisation::Organisation>, ApiError> {
+    let key = (routed.deployment.callers.read)(headers).key;
+    let found = key.and_then(|k| in_force.keys.find(k));
+    let found = found.map(|at| &in_force.document.organisations[at]);
+    if route.public || in_force.document.organisations.is_empty() {
+        return Ok(found);
+    }
+    if !routed.fresh() {
+        return Err(unready("the document was not read lately, so this key may be withdrawn"));
+    }
+    if found.is_none() && routed.reading_age() > KNOWN_MS {
+        return Err(unready("the document can not be read, so this key may be new"));
+    }
+    let missing = || {
+        let message = "the key is missing or names no organisation";
+        ApiError::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message)
+    };
+    found.map(Some).ok_or_else(missing)
+}
+
+fn unready(message: &str) -> ApiError {
+    let mut error =
+        ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message.to_owned());
+    error.retry_ms = UNREADY_RETRY_MS;
+    error
+}
+
+async fn read_body(body: Incoming, in_force: &InForce, time: Duration) -> Result<Bytes, ApiError> {
+    let most = in_force.document.limits.body_bytes;
+    let limited = Limited::new(body, most as usize);
+    match tokio::time::timeout(time, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ApiError::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            format!("the body is longer than {most} bytes"),
+        )),
+        Ok(Err(e)) => Err(ApiError::bad_request(format!("body not readable: {e}"))),
+        Err(_) => Err(ApiError::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            format!("the body did not arrive within {} ms", time.as_millis()),
+        )),
+    }
+}
+
+/// The target of a route as the reducer knows it: a model where it has engines, else a service.
+fn target_id(in_force: &InForce, service: &str) -> Id {
+    match in_force.document.model(service) {
+        Some(_) => model_id(service),
+        None => service_id(service),
+    }
+}
+
+#[allow(clippy::too_many_arguments, reason = "a ticket is made of everything that is known")]
+fn ticket(
+    routed: &Routed,
+    in_force: &InForce,
+    route: &Route,
+    facts: &agateroute_adapter::caller::Facts<'_>,
+    organisation: &str,
+    rank: u8,
+    limit: Instant,
+    path: &str,
+    body: &Bytes,
+) -> Ticket {
+    let service = pick_target(route, rand::random()).unwrap_or_default();
+    let shared = facts.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let prefix = shared.iter().fold(0, |hash, part| mix(hash, part.id));
+    let left = limit.saturating_duration_since(Instant::now());
+    let patience = if route.kind.streams() { left / STREAM_WAIT_DIVISOR } else { left };
+    let organisation = id(organisation);
+    Ticket {
+        request: routed.shell.next_request(),
+        organisation,
+        target: target_id(in_force, service),
+        kind: id(&route.name),
+        rank,
+        prompt: facts.size.map_or(0, |s| s.prompt),
+        most: facts.size.map_or(0, |s| s.most),
+        prefix,
+        shared: shared.iter().map(|p| p.tokens).sum(),
+        fingerprint: mix(mix(organisation, id(path)), id_of_bytes(body)),
+        deadline: routed.shell.now() + patience.as_millis() as u64,
+        attempts: if route.kind.repeatable() { route.attempts } else { 1 },
+    }
+}
+
+/// What is known of a request that got no answer yet.
+#[derive(Default)]
+struct Progress {
+    /// A backend server may have begun it.
+    begun: bool,
+    /// The last answer of a backend server, a failure that another attempt might have mended.
+    failure: Option<Answer>,
+}
+
+/// Waits for permits and makes attempts until there is a final answer.
+async fn run(
+    routed: &Arc<Routed>,
+    call: Arc<Call>,
+    mut account: Account,
+    ticket: Ticket,
+) -> Result<Response<GateBody>, ApiError> {
+    let mut permit = routed.shell.arrive(ticket);
+    let mut progress = Progress::default();
+    loop {
+        let admission = tokio::time::timeout_at(call.limit, permit.admission()).await;
+        let server = match admission {
+            Ok(Admission::Start(server)) => server,
+            Ok(Admission::Refuse(refusal, retry_ms)) => {
+                return finish(progress, account, refused(refusal, retry_ms));
+            }
+            Err(_) => return finish(progress, account, refused(Refusal::NoRoom, RETRY_MS)),
+        };
+        let Some(server) = allowed(routed, &call, server, &mut permit, &mut account)? else {
+            continue;
+        };
+        match attempt::make(routed, &call, &server, None).await {
+            Attempt::Streams(answer) => {
+                let passage = Passage { call: call.clone(), permit, account, server };
+                return Ok(passage::start(routed, passage, answer));
+            }
+            Attempt::Answered(answer) => {
+                let failed = answer.head.status.is_server_error();
+                if failed && call.route.kind == RouteKind::Repeatable {
+                    progress = Progress { begun: true, failure: Some(answer) };
+                    permit.end(lost(true));
+                    continue;
+                }
+                let took_ms = answer.took.as_millis() as u32;
+                permit.end(End::Whole { tokens: 0, took_ms });
+                account.close_answer();
+                return Ok(plain_response(answer));
+            }
+            Attempt::NotStarted(sign) => permit.end(End::NotStarted { sign }),
+            Attempt::Lost(sign) => {
+                progress.begun = true;
+                let again = call.route.kind.repeatable();
+                permit.end(End::Lost { tokens: 0, sign, again });
+            }
+            Attempt::TimedOut => {
+                permit.end(lost(false));
+                account.close(Ended::Unknown);
+                return Err(timed_out());
+            }
+        }
+    }
+}
+
+fn lost(again: bool) -> End {
+    End::Lost { tokens: 0, sign: agateroute_core::event::Sign::Nothing, again }
+}
+
+/// Checks at the moment of sending what may have changed while the request waited.
+fn allowed(
+    routed: &Routed,
+    call: &Call,
+    server: Id,
+    permit: &mut Permit,
+    account: &mut Account,
+) -> Result<Option<ServerRef>, ApiError> {
+    let in_force = routed.shell.in_force();
+    if let Err(error) = permitted(routed, &in_force, &call.route, &call.headers) {
+        permit.end(End::NotStarted { sign: agateroute_core::event::Sign::Refused });
+        account.close(Ended::NotRun);
+        return Err(error);
+    }
+    match in_force.servers.get(&server) {
+        Some(found) => {
+            account.started(&found.name);
+            Ok(Some(found.clone()))
+        }
+        None => {
+            permit.end(End::NotStarted { sign: agateroute_core::event::Sign::Refused });
+            Ok(None)
+        }
+    }
+}
+
+/// The final answer of a request for which no attempt is left.
+fn finish(
+    progress: Progress,
+    mut account: Account,
+    error: ApiError,
+) -> Result<Response<GateBody>, ApiError> {
+    match progress {
+        Progress { failure: Some(answer), .. } => {
+            account.close(Ended::Unknown);
+            Ok(plain_response(answer))
+        }
+        Progress { begun: true, .. } => {
+            account.close(Ended::Unknown);
+            Err(bad_gateway())
+        }
+        Progress { begun: false, .. } => {
+            account.close(Ended::NotRun);
+            Err(error)
+        }
+    }
+}
+
+/// A refusal on a route. Callers take 4xx for their own fault, so only what is one gets it.
+fn refused(refusal: Refusal, retry_ms: u32) -> ApiError {
+    let mut error = ApiError::refused(refusal, retry_ms);
+    if refusal == Refusal::Quarantined {
+        error.status = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    error
+}
+
+fn bad_gateway() -> ApiError {
+    ApiError {
+        status: StatusCode::BAD_GATEWAY,
+        code: "answer_lost",
+        message: "a backend server got the request and its answer was lost".to_owned(),
+        outcome: Outcome::Unknown,
+        retry_ms: 0,
+    }
+}
+
+fn timed_out() -> ApiError {
+    ApiError {
+        status: StatusCode::GATEWAY_TIMEOUT,
+        code: "timeout",
+        message: "a backend server got the request and did not answer in time".to_owned(),
+        outcome: Outcome::Unknown,
+        retry_ms: 0,
+    }
+}
+
+/// The answer of a backend server as the caller gets it.
+fn plain_response(answer: Answer) -> Response<GateBody> {
+    let mut response = Response::new(whole(answer.body));
+    *response.status_mut() = answer.head.status;
+    *response.headers_mut() = passed_headers(&answer.head);
+    response
+}
+
+/// The header fields of an answer that are passed on.
+pub fn passed_headers(head: &response::Parts) -> HeaderMap {
+    let mut headers = head.headers.clone();
+    for name in head.headers.keys() {
+        if agateroute_adapter::hop::belongs_to_connection(&head.headers, name)
+            || name == header::CONTENT_LENGTH
+        {
+            headers.remove(name);
+        }
+    }
+    headers
+}
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -8,13 +8,17 @@
 use agateroute_core::effect::Refusal;
 use agateroute_core::event::{End, RequestId, Ticket};
 use agateroute_core::id::Millis;
+use agateroute_core::freshness::Freshness;
 use agateroute_core::membership::Peer;
+use agateroute_core::routes::RouteTable;
 use agateroute_core::{Effect, Event, Id, State, Table, id};
 use agateroute_proto::peers::message::Body;
-use agateroute_proto::peers::{Claim, ClaimOutcome, Message};
+use agateroute_storage::table::Table as TableService;
+use agateroute_proto::peers::{Claim, ClaimOutcome, Message, Sign};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::auth::KeyRing;
+use crate::clock::boot_millis;
 use crate::fleet::FleetView;
 use crate::jobs::Job;
 use crate::platform::Platform;
@@ -32,6 +36,8 @@
     pub keys: KeyRing,
     /// The backend servers by identifier.
     pub servers: Table<Id, ServerRef>,
+    /// The routes by host and path.
+    pub routes: RouteTable,
 }
 
 /// Where a backend server is.
@@ -91,6 +97,8 @@
     pub me: Peer,
     /// The platform's services, where there are some.
     pub platform: Option<Platform>,
+    /// The table service, where there is one.
+    pub table: Option<TableService>,
     /// What is wanted and found on engines, where this instance holds the lease.
     pub fleet: FleetView,
     /// The tallies.
@@ -101,7 +109,9 @@
     pub version_seen: Notify,
     inner: Mutex<Inner>,
     in_force: RwLock<Arc<InForce>>,
+    freshness: Mutex<Freshness>,
     first: Mutex<Option<Document>>,
+    handout: Mutex<Option<Arc<str>>>,
     started: Instant,
     next: AtomicU64,
     newest: AtomicU64,
@@ -125,6 +135,7 @@
         Shell {
             settings,
             telemetry,
+            table: platform.as_ref().map(|p| p.table.clone()),
             platform,
             fleet: FleetView::default(),
             book: book.clone(),
@@ -142,7 +153,9 @@
                 book,
             }),
             in_force: RwLock::new(Arc::new(InForce::new(0, document))),
+            freshness: Mutex::new(Freshness::default()),
             first: Mutex::new(None),
+            handout: Mutex::new(None),
             started: Instant::now(),
             next: AtomicU64::new(1),
             ready: AtomicBool::new(false),
@@ -151,6 +164,26 @@
         }
     }
 
+    /// The same shell with a table service that the settings do not name.
+    pub fn with_table(self, table: TableService) -> Shell {
+        Shell { table: Some(table), ..self }
+    }
+
+    /// Notes a reading of the document that was asked for at `asked`, on the clock that counts
+    /// suspension, and was `age` old where it came from.
+    pub fn note_reading(&self, asked: Millis, age: Millis) {
+        self.freshness().note(asked, age);
+    }
+
+    /// How old the last reading of the document is, suspension counted.
+    pub fn reading_age(&self) -> Option<Millis> {
+        self.freshness().age(boot_millis())
+    }
+
+    fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Milliseconds since this instance started.
     pub fn now(&self) -> Millis {
         self.started.elapsed().as_millis() as Millis
@@ -197,6 +230,31 @@
         true
     }
 
+    /// Brings a document of the version in force into force again, with other backend servers.
+    pub fn set_servers(&self, document: Document) {
+        let document = Arc::new(document);
+        let mut slot = self.in_force.write().unwrap_or_else(PoisonError::into_inner);
+        *slot = Arc::new(InForce::new(slot.version, document.clone()));
+        self.apply(Event::Configured { document });
+    }
+
+    /// Sets the text that peers get when they ask for the document in force.
+    pub fn set_handout(&self, text: String) {
+        *self.handout.lock().unwrap_or_else(PoisonError::into_inner) = Some(text.into());
+    }
+
+    /// The text that peers get when they ask for the document in force, where it is not the document
+    /// itself.
+    pub fn handout(&self) -> Option<Arc<str>> {
+        self.handout.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Notes that a backend server is leaving and tells the peers.
+    pub fn tell_leaving(&self, server: Id) {
+        self.apply(Event::ServerLeaving { server });
+        self.tell_peers(&Body::Sign(Sign { server, refused: false, leaving: true }));
+    }
+
     /// Keeps a document for the case that the platform has no version yet.
     pub fn set_first(&self, document: Document) {
         *self.first.lock().unwrap_or_else(PoisonError::into_inner) = Some(document);
@@ -377,7 +435,13 @@
             };
             (server.id, server)
         });
-        InForce { version, keys: KeyRing::new(&document), servers: servers.collect(), document }
+        InForce {
+            version,
+            keys: KeyRing::new(&document),
+            servers: servers.collect(),
+            routes: RouteTable::new(&document),
+            document,
+        }
     }
 }
 
@@ -387,6 +451,7 @@
         ranks: Vec::new(),
         models: Vec::new(),
         services: Vec::new(),
+        routes: Vec::new(),
         servers: Vec::new(),
         organisations: Vec::new(),
         limits: agateroute_config::limits::Limits::default(),
