--- a/agateroute_adapter/src/deployment.rs
+++ b/agateroute_adapter/src/deployment.rs
@@ -57,6 +57,8 @@
     pub memory_tokens: Option<u64>,
     /// The tokens in one event of a stream.
     pub event_tokens: u32,
+    /// Whether generations can move from one server to another.
+    pub moves: bool,
 }
 
 /// Where an instance listens beside its peer and operator addresses.
--- a/agateroute_adapter/src/server.rs
+++ b/agateroute_adapter/src/server.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, response};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, response};
+use http_body_util::Full;
 
 /// The functions that speak a backend server's wire format.
 #[derive(Clone, Copy, Debug)]
@@ -11,6 +13,43 @@
     pub headers: fn(&HeaderMap, &Order<'_>) -> HeaderMap,
     /// What the head of an answer says.
     pub judge: fn(&response::Parts) -> Judgement,
+    /// Encodes the order to copy the memory of a generation to another server.
+    pub copy: fn(&CopyOrder<'_>) -> Request<Full<Bytes>>,
+    /// Decodes the answer to it.
+    pub read_copy: fn(StatusCode, &[u8]) -> CopyAnswer,
+}
+
+/// The order to copy the memory of a generation to another server.
+#[derive(Clone, Copy, Debug)]
+pub struct CopyOrder<'a> {
+    /// The id of the request that runs.
+    pub request: &'a str,
+    /// The address of the destination.
+    pub to: &'a str,
+    /// Whether the generation stops first, so that the copy is the last.
+    pub last: bool,
+}
+
+/// What came of a copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CopyAnswer {
+    /// The destination holds it under a handle.
+    Copied {
+        /// The handle.
+        handle: String,
+    },
+    /// No such generation runs there.
+    Missing,
+    /// Another copy of it is being made.
+    Busy,
+    /// The destination has no room or is not reached. The source keeps the memory under the handle,
+    /// where there is one.
+    NoRoom {
+        /// The handle.
+        handle: Option<String>,
+    },
+    /// The answer is of no use.
+    Failed,
 }
 
 /// What a backend server is told about a request beside what the caller sent.
@@ -26,6 +65,9 @@
     pub rank: u8,
     /// The last event that the caller has, where a stream is continued.
     pub last_event: Option<u64>,
+    /// The address of the server that the memory was copied from, and the handle of the copy, where a
+    /// generation goes on with it.
+    pub memory: Option<(&'a str, &'a str)>,
 }
 
 /// What the head of an answer says.
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -232,7 +232,9 @@
     fn patience(&self, ask: &Ask) -> Millis {
         match self.capacity {
             Capacity::Engine { .. } => u64::from(ask.wait_ms),
-            Capacity::Slots { .. } => u64::from(ask.wait_ms).saturating_sub(self.limit.typical_ms()),
+            Capacity::Slots { .. } => {
+                u64::from(ask.wait_ms).saturating_sub(self.limit.typical_ms())
+            }
         }
     }
 
--- a/agateroute_core/src/effect.rs
+++ b/agateroute_core/src/effect.rs
@@ -32,6 +32,15 @@
             /// The backend server.
             server: Id,
         },
+        /// Move a running generation to another backend server.
+        Move {
+            /// The request.
+            request: RequestId,
+            /// The request under which the destination is permitted.
+            permit: RequestId,
+            /// The destination.
+            server: Id,
+        },
         /// Refuse a request as not run.
         Refuse {
             /// The request.
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -49,6 +49,8 @@
         pub attempts: u32,
         /// The backend servers that may have begun it.
         pub begun: u32,
+        /// The running request that is to move under this permit.
+        pub moves: Option<RequestId>,
     }
 
     /// A request that runs under a permit.
@@ -101,14 +103,15 @@
     }
 
     fn place(&mut self, ticket: Ticket, tried: Vec<Id>, attempts: u32, begun: u32) {
-        let alone = match self.suspects.standing(ticket.fingerprint, self.now, self.catalog.routing()) {
-            Standing::Clear => false,
-            Standing::Alone => true,
-            Standing::Quarantined => {
-                self.refuse(ticket.request, Refusal::Quarantined, 0);
-                return;
-            }
-        };
+        let alone =
+            match self.suspects.standing(ticket.fingerprint, self.now, self.catalog.routing()) {
+                Standing::Clear => false,
+                Standing::Alone => true,
+                Standing::Quarantined => {
+                    self.refuse(ticket.request, Refusal::Quarantined, 0);
+                    return;
+                }
+            };
         let request = ticket.request;
         let pending = Pending {
             ticket,
@@ -120,6 +123,7 @@
             denied: None,
             attempts,
             begun,
+            moves: None,
         };
         self.entry.pending.insert(request, pending);
         self.ask_next(request);
@@ -171,6 +175,25 @@
         self.send(owner, Body::Ask(ask));
     }
 
+    /// Places the part of a running request that moves: asks for a server for it under another id.
+    pub(crate) fn place_move(&mut self, moving: RequestId, ticket: Ticket, from: Id) {
+        let request = ticket.request;
+        let pending = Pending {
+            ticket,
+            alone: false,
+            asks: Vec::new(),
+            tried: vec![from],
+            widen: self.now + HEDGE_MS,
+            pause: HEDGE_MS,
+            denied: None,
+            attempts: 0,
+            begun: 0,
+            moves: Some(moving),
+        };
+        self.entry.pending.insert(request, pending);
+        self.ask_next(request);
+    }
+
     /// Picks a server: the one that has computed the prefix lately, unless it is far busier than the
     /// others, and else the least busy of a few drawn at random. Drawing keeps the instances from all
     /// running to the server that looked idle a moment ago.
@@ -233,7 +256,10 @@
             tried: pending.tried,
         };
         self.entry.running.insert(request, running);
-        self.effects.push(Effect::Start { request, server });
+        match pending.moves {
+            None => self.effects.push(Effect::Start { request, server }),
+            Some(moving) => self.move_permitted(moving, request, server),
+        }
     }
 
     pub(crate) fn denied(&mut self, peer: Id, deny: &Deny) {
@@ -267,6 +293,10 @@
     /// Refuses a request that has nothing left to ask for.
     fn give_up(&mut self, request: RequestId) {
         let Some(pending) = self.entry.pending.remove(&request) else { return };
+        if let Some(moving) = pending.moves {
+            self.move_refused(moving);
+            return;
+        }
         let (refusal, retry_ms) = match pending.denied {
             Some(denied) => denied,
             None if pending.attempts > 0 => (Refusal::Failed, RETRY_MS),
@@ -300,6 +330,8 @@
     pub(crate) fn progressed(&mut self, request: RequestId, tokens: u32) {
         let Some(running) = self.entry.running.get_mut(&request) else { return };
         running.tokens = running.tokens.max(tokens);
+        self.move_begun(request);
+        let Some(running) = self.entry.running.get_mut(&request) else { return };
         if running.tokens < running.reported + PROGRESS_TOKENS {
             return;
         }
@@ -312,6 +344,7 @@
     /// and starts the request elsewhere where that is allowed.
     pub(crate) fn ended(&mut self, request: RequestId, end: &End) {
         let Some(mut running) = self.entry.running.remove(&request) else { return };
+        self.forget_move(request);
         let (tokens, whole, took_ms) = match end {
             End::Whole { tokens, took_ms } => (*tokens, true, *took_ms),
             End::Lost { tokens, .. } | End::Cancelled { tokens } => (*tokens, false, 0),
@@ -344,6 +377,14 @@
         }
     }
 
+    /// Gives up the permit of a request that goes on elsewhere under another one.
+    pub(crate) fn entry_release(&mut self, request: RequestId) {
+        let Some(running) = self.entry.running.remove(&request) else { return };
+        let (server, tokens) = (running.server, running.tokens);
+        let release = Release { request, server, tokens, whole: false, took_ms: 0 };
+        self.send(running.owner, Body::Release(release));
+    }
+
     fn start_again(&mut self, running: Running, again: bool, arrived: bool) {
         let request = running.ticket.request;
         let attempts = running.attempts + 1;
@@ -368,6 +409,10 @@
         for request in late {
             if let Some(pending) = self.entry.pending.remove(&request) {
                 self.withdraw_all(&pending);
+                if let Some(moving) = pending.moves {
+                    self.move_refused(moving);
+                    continue;
+                }
                 let (refusal, retry_ms) = pending.denied.unwrap_or((Refusal::NoRoom, RETRY_MS));
                 self.refuse(request, refusal, retry_ms);
             }
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -40,6 +40,10 @@
         pub deadline: Millis,
         /// The most backend servers that may begin the request; 0 leaves it to the document.
         pub attempts: u32,
+        /// The caller's guess at the length of the output, in tokens; 0 where there is none.
+        pub hint: u32,
+        /// Whether the generation can go on at another backend server with a copy of its memory.
+        pub movable: bool,
     }
 
     /// A load report of a backend server.
@@ -153,6 +157,15 @@
             /// How.
             end: End,
         },
+        /// A move of a generation to another backend server came to an end.
+        MoveEnded {
+            /// The request.
+            request: RequestId,
+            /// The request under which the destination was permitted.
+            permit: RequestId,
+            /// Whether it goes on at the destination.
+            moved: bool,
+        },
         /// A load report was read.
         Reported {
             /// The backend server.
--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod memory;
+pub mod migration;
 pub mod prefix;
 pub mod relay;
 pub mod rendezvous;
--- /dev/null
+++ b/agateroute_core/src/migration.rs
@@ -0,0 +1,303 @@
+//! Moves of running generations away from backend servers that leave.
+//!
+//! A generation that may not run twice is lost with its server, unless its memory is copied to another
+//! one in time and it goes on there. Copies queue on the link of the server, and a generation pauses
+//! while its last part is copied. So the instances that hold generations of one server take turns, which
+//! the owner of the server gives, the most worth first; on its turn an instance gets a permit for a
+//! destination and makes the copy. See `docs/DESIGN.md`, "Live migration".
+
+use agateroute_proto::peers::message::Body;
+use agateroute_proto::peers::{Turn, TurnAsk, TurnDone};
+
+use crate::Table;
+use crate::effect::Effect;
+use crate::event::{RequestId, Ticket};
+use crate::id::{Id, Millis};
+use crate::state::State;
+
+/// How long a turn lasts at most, in milliseconds: a copy of the largest generation between zones.
+const TURN_MS: Millis = 900;
+/// How long the owner of a server may take to give a turn before its absence is assumed, in
+/// milliseconds. Then the move goes ahead without one, and may queue on the link.
+const OWNER_SILENCE_MS: Millis = 1_500;
+/// How long a destination may take to permit, in milliseconds.
+const PERMIT_MS: Millis = 400;
+/// The pause before a move that found no destination is tried again, in milliseconds.
+const AGAIN_MS: Millis = 100;
+/// How often one generation is tried to be moved away from one server.
+const TRIES_MOST: u32 = 6;
+/// Sets the ids under which destinations are permitted apart from those of requests.
+const PERMIT_STRIDE: RequestId = 1 << 48;
+/// How long a generation may go on at a server that leaves and still end in time, in milliseconds. It
+/// is the shortest notice that servers are known to give, less the time of a late list.
+const STAY_MS: u64 = 1_000;
+/// How long a token takes at most on a busy engine, in milliseconds.
+const TOKEN_MS: u64 = 12;
+/// How far the hint of a caller may be off on the short side, as a factor.
+const HINT_FACTOR: u32 = 2;
+/// How long a server counts as leaving after it was last said to, in milliseconds.
+const LEAVING_MS: Millis = 60_000;
+
+value! {
+    /// How far a move is.
+    pub enum Stage {
+        /// It waits for its turn since a moment.
+        Turn(Millis),
+        /// It has its turn and waits for a destination.
+        Destination,
+        /// The copy is made under a permit.
+        Copy(RequestId),
+        /// It found no destination and is tried again at a moment.
+        Again(Millis),
+    }
+
+    /// A generation that moves.
+    pub struct Move {
+        /// The server that leaves.
+        pub server: Id,
+        /// How far it is.
+        pub stage: Stage,
+        /// How often it was tried.
+        pub tries: u32,
+    }
+
+    struct Waiting {
+        peer: Id,
+        request: RequestId,
+        worth: u32,
+    }
+}
+
+/// The turns of one server.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Turns {
+    waiting: Vec<Waiting>,
+    active: Option<(Id, RequestId, Millis)>,
+}
+
+/// The generations that move, and the turns that this instance gives.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Migration {
+    /// The generations of this instance that move.
+    pub moves: Table<RequestId, Move>,
+    turns: Table<Id, Turns>,
+    leaving: Table<Id, Millis>,
+}
+
+/// What is lost if a generation is cut: what was read for it and what it may produce.
+fn worth(ticket: &Ticket) -> u32 {
+    ticket.prompt.saturating_add(ticket.most.saturating_mul(10))
+}
+
+/// Whether a generation will probably end before its server is gone.
+fn ends_in_time(ticket: &Ticket, tokens: u32) -> bool {
+    let length = match ticket.hint {
+        0 => ticket.most,
+        hint => hint.saturating_mul(HINT_FACTOR).min(ticket.most.max(1)),
+    };
+    u64::from(length.saturating_sub(tokens)) * TOKEN_MS < STAY_MS
+}
+
+impl State {
+    /// Begins to move away what this instance runs on a server that leaves.
+    pub(crate) fn move_all(&mut self, server: Id) {
+        self.migration.leaving.insert(server, self.now);
+        let here: Vec<RequestId> = self
+            .entry
+            .running
+            .iter()
+            .filter(|(_, r)| r.server == server)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in here {
+            self.move_begun(request);
+        }
+    }
+
+    /// Begins to move a generation away, if its server leaves and it has memory to copy.
+    pub(crate) fn move_begun(&mut self, request: RequestId) {
+        let Some(running) = self.entry.running.get(&request) else { return };
+        let server = running.server;
+        let wanted = running.ticket.movable
+            && running.tokens > 0
+            && self.migration.leaving.contains(&server)
+            && !self.migration.moves.contains(&request)
+            && !ends_in_time(&running.ticket, running.tokens);
+        if wanted {
+            self.ask_turn(request, server, 0);
+        }
+    }
+
+    fn ask_turn(&mut self, request: RequestId, server: Id, tries: u32) {
+        let Some(running) = self.entry.running.get(&request) else { return };
+        let worth = worth(&running.ticket);
+        let stage = Stage::Turn(self.now);
+        self.migration.moves.insert(request, Move { server, stage, tries });
+        let owner = self.owner_of(server);
+        self.send(owner, Body::TurnAsk(TurnAsk { request, server, worth }));
+    }
+
+    /// Queues an ask for a turn.
+    pub(crate) fn receive_turn_ask(&mut self, peer: Id, ask: &TurnAsk) {
+        let turns = self.migration.turns.entry(ask.server, Turns::default);
+        let known = turns.waiting.iter().any(|w| (w.peer, w.request) == (peer, ask.request));
+        if !known {
+            let waiting = Waiting { peer, request: ask.request, worth: ask.worth };
+            turns.waiting.push(waiting);
+        }
+        self.next_turn(ask.server);
+    }
+
+    fn next_turn(&mut self, server: Id) {
+        let now = self.now;
+        let Some(turns) = self.migration.turns.get_mut(&server) else { return };
+        if turns.active.is_some_and(|(_, _, since)| now < since + TURN_MS) {
+            return;
+        }
+        turns.active = None;
+        let best = turns.waiting.iter().enumerate().max_by_key(|(_, w)| w.worth);
+        let Some((at, _)) = best else {
+            self.migration.turns.remove(&server);
+            return;
+        };
+        let next = turns.waiting.remove(at);
+        turns.active = Some((next.peer, next.request, now));
+        self.send(next.peer, Body::Turn(Turn { request: next.request, server }));
+    }
+
+    /// Takes a turn: asks for a destination.
+    pub(crate) fn receive_turn(&mut self, peer: Id, turn: &Turn) {
+        let waits = |m: &Move| m.server == turn.server && matches!(m.stage, Stage::Turn(_));
+        if !self.migration.moves.get(&turn.request).is_some_and(waits) {
+            let done = TurnDone { request: turn.request, server: turn.server };
+            self.send(peer, Body::TurnDone(done));
+            return;
+        }
+        self.find_destination(turn.request);
+    }
+
+    fn find_destination(&mut self, request: RequestId) {
+        let Some(running) = self.entry.running.get(&request) else { return };
+        let Some(moving) = self.migration.moves.get_mut(&request) else { return };
+        moving.stage = Stage::Destination;
+        moving.tries += 1;
+        let (server, tries) = (moving.server, moving.tries);
+        let ticket = Ticket {
+            request: request + PERMIT_STRIDE * u64::from(tries),
+            prompt: running.ticket.prompt + running.tokens,
+            most: running.ticket.most.saturating_sub(running.tokens),
+            rank: 0,
+            prefix: 0,
+            shared: 0,
+            deadline: self.now + PERMIT_MS,
+            ..running.ticket.clone()
+        };
+        self.place_move(request, ticket, server);
+    }
+
+    /// A destination is permitted.
+    pub(crate) fn move_permitted(&mut self, request: RequestId, permit: RequestId, server: Id) {
+        match self.migration.moves.get_mut(&request) {
+            Some(moving) => {
+                moving.stage = Stage::Copy(permit);
+                self.effects.push(Effect::Move { request, permit, server });
+            }
+            None => self.abandon(permit),
+        }
+    }
+
+    /// No destination permits.
+    pub(crate) fn move_refused(&mut self, request: RequestId) {
+        let again = self.now + AGAIN_MS;
+        let Some(moving) = self.migration.moves.get_mut(&request) else { return };
+        moving.stage = Stage::Again(again);
+        let server = moving.server;
+        self.give_turn_back(request, server);
+    }
+
+    fn give_turn_back(&mut self, request: RequestId, server: Id) {
+        let owner = self.owner_of(server);
+        self.send(owner, Body::TurnDone(TurnDone { request, server }));
+    }
+
+    /// Gives the turn to the next.
+    pub(crate) fn receive_turn_done(&mut self, peer: Id, done: &TurnDone) {
+        let Some(turns) = self.migration.turns.get_mut(&done.server) else { return };
+        turns.waiting.retain(|w| (w.peer, w.request) != (peer, done.request));
+        if turns.active.is_some_and(|(p, r, _)| (p, r) == (peer, done.request)) {
+            turns.active = None;
+        }
+        self.next_turn(done.server);
+    }
+
+    /// A copy came to an end. Where the generation goes on at the destination, it is held there from now
+    /// on under the id of the permit.
+    pub(crate) fn move_ended(&mut self, request: RequestId, permit: RequestId, moved: bool) {
+        let now = self.now;
+        let Some(moving) = self.migration.moves.get_mut(&request) else {
+            self.abandon(permit);
+            return;
+        };
+        let server = moving.server;
+        moving.stage = Stage::Again(now + AGAIN_MS);
+        self.give_turn_back(request, server);
+        if !moved {
+            self.abandon(permit);
+            return;
+        }
+        self.migration.moves.remove(&request);
+        let Some(former) = self.entry.running.get(&request).cloned() else { return };
+        self.entry_release(request);
+        if let Some(running) = self.entry.running.get_mut(&permit) {
+            // The ticket tells the whole size again, in case it moves once more.
+            let ticket = Ticket { request: permit, ..former.ticket };
+            running.ticket = ticket;
+            running.tokens = former.tokens;
+            running.reported = former.tokens;
+            running.begun = former.begun;
+            running.attempts = former.attempts;
+        }
+        self.move_begun(permit);
+    }
+
+    /// Forgets the move of a request that ended.
+    pub(crate) fn forget_move(&mut self, request: RequestId) {
+        let Some(moving) = self.migration.moves.remove(&request) else { return };
+        self.give_turn_back(request, moving.server);
+        let pending = |p: &crate::entry::Pending| p.moves == Some(request);
+        let asked = self.entry.pending.iter().find(|(_, p)| pending(p)).map(|(r, _)| *r);
+        if let Some(permit) = asked {
+            self.abandon(permit);
+        }
+        if let Stage::Copy(permit) = moving.stage {
+            self.abandon(permit);
+        }
+    }
+
+    /// Tries moves again, gives turns whose holders are silent to others, and forgets servers that left.
+    pub(crate) fn tick_moves(&mut self) {
+        let now = self.now;
+        let mut again = Vec::new();
+        let mut alone = Vec::new();
+        for (request, moving) in self.migration.moves.iter() {
+            match moving.stage {
+                Stage::Again(at) if at <= now => again.push((*request, *moving)),
+                Stage::Turn(since) if since + OWNER_SILENCE_MS <= now => alone.push(*request),
+                _ => {}
+            }
+        }
+        for (request, moving) in again {
+            if moving.tries < TRIES_MOST {
+                self.ask_turn(request, moving.server, moving.tries);
+            }
+        }
+        for request in alone {
+            self.find_destination(request);
+        }
+        let servers: Vec<Id> = self.migration.turns.keys().copied().collect();
+        for server in servers {
+            self.next_turn(server);
+        }
+        self.migration.leaving.retain(|_, since| now < *since + LEAVING_MS);
+    }
+}
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -19,6 +19,7 @@
 use crate::id::{Id, Millis};
 use crate::ledger::Ledger;
 use crate::membership::{Membership, Peer};
+use crate::migration::Migration;
 use crate::prefix::Prefixes;
 use crate::rendezvous;
 use crate::retry::Budget;
@@ -48,6 +49,8 @@
     pub estimator: Estimator,
     /// The requests under suspicion.
     pub suspects: Suspects,
+    /// The generations that move, and whose turn it is.
+    pub migration: Migration,
     pub(crate) health: HealthTable,
     pub(crate) prefixes: Prefixes,
     pub(crate) budget: Budget,
@@ -71,6 +74,7 @@
             ledger: Ledger::default(),
             estimator: Estimator::default(),
             suspects: Suspects::default(),
+            migration: Migration::default(),
             health: HealthTable::default(),
             prefixes: Prefixes::default(),
             budget: Budget::default(),
@@ -116,9 +120,9 @@
                 self.with_desk(server, |desk, _, _| desk.cache_news(&news));
             }
             Event::Unreported { server, refused } => self.unreported(server, refused),
-            Event::ServerLeaving { server } => {
-                self.health.leaving(server, self.now);
-                self.with_desk(server, Desk::close);
+            Event::ServerLeaving { server } => self.server_leaving(server),
+            Event::MoveEnded { request, permit, moved } => {
+                self.move_ended(request, permit, moved);
             }
             Event::SuspectKept { fingerprint, crashes } => {
                 self.suspects.learn(fingerprint, crashes, self.now);
@@ -252,6 +256,9 @@
             Body::Suspect(s) => self.suspects.learn(s.fingerprint, s.crashes, self.now),
             Body::Claim(claim) => self.queue_claim(peer, claim),
             Body::ClaimResult(result) => self.claim_result(result),
+            Body::TurnAsk(ask) => self.receive_turn_ask(peer, &ask),
+            Body::Turn(turn) => self.receive_turn(peer, &turn),
+            Body::TurnDone(done) => self.receive_turn_done(peer, &done),
             Body::TallyRow(row) => self.effects.push(Effect::HoldTally(row)),
         }
     }
@@ -285,11 +292,18 @@
 
     fn receive_sign(&mut self, sign: &peers::Sign) {
         if sign.leaving {
-            self.health.leaving(sign.server, self.now);
+            self.server_leaving(sign.server);
         } else {
             self.health.refused(sign.server, self.now);
+            self.with_desk(sign.server, Desk::close);
         }
-        self.with_desk(sign.server, Desk::close);
+    }
+
+    /// Gives a server that is leaving no new work, and moves away what runs there.
+    fn server_leaving(&mut self, server: Id) {
+        self.health.leaving(server, self.now);
+        self.with_desk(server, Desk::close);
+        self.move_all(server);
     }
 
     /// Runs a step on one desk and sends what it answers.
@@ -376,6 +390,7 @@
         }
         self.drop_silent(silence, silence * SILENCES_GIVEN_UP);
         self.tick_entry();
+        self.tick_moves();
         self.tick_ledger();
         self.each_desk(Desk::tick);
         let load_ms = self.catalog.routing().load_ms;
--- a/agateroute_core/tests/world/mod.rs
+++ b/agateroute_core/tests/world/mod.rs
@@ -27,6 +27,8 @@
     pub open: Vec<RequestId>,
     /// Requests that were refused.
     pub refused: Vec<RequestId>,
+    /// The last move that was asked for: the request and the permit.
+    pub moving: Option<(RequestId, RequestId)>,
     /// Results of claims.
     pub claims: Vec<(RequestId, ClaimOutcome)>,
 }
@@ -123,6 +125,7 @@
             running: Table::default(),
             open: Vec::new(),
             refused: Vec::new(),
+            moving: None,
             claims: Vec::new(),
         }
     }
@@ -184,6 +187,11 @@
                 instance.refused.push(request);
                 let _ = writeln!(self.log, "{name}: refuse {request} {refusal:?} retry {retry_ms}");
             }
+            Effect::Move { request, permit, server } => {
+                let server = self.name_of(server);
+                self.instances[at].moving = Some((request, permit));
+                let _ = writeln!(self.log, "{name}: move {request} to {server}");
+            }
             Effect::Send { peer, body } => self.deliver(at, peer, body),
             Effect::Transact { shard, claims } => {
                 self.transactions.push(InFlight { instance: at, shard, claims });
@@ -280,6 +288,8 @@
             fingerprint: request,
             deadline: self.now + promise.first_token_ms,
             attempts: 0,
+            hint: 0,
+            movable: false,
         }
     }
 
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -29,7 +29,7 @@
 pub struct Message {
     #[prost(
         oneof = "message::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: ::core::option::Option<message::Body>,
 }
@@ -65,6 +65,12 @@
         Load(super::Load),
         #[prost(message, tag = "14")]
         Reset(super::Reset),
+        #[prost(message, tag = "15")]
+        TurnAsk(super::TurnAsk),
+        #[prost(message, tag = "16")]
+        Turn(super::Turn),
+        #[prost(message, tag = "17")]
+        TurnDone(super::TurnDone),
     }
 }
 /// Asks the owner of a backend server for a permit to start a request there.
@@ -187,6 +193,34 @@
 /// lost with the former stream. What still waits and runs follows.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reset {}
+/// Asks for the turn to move a generation away from a backend server. Copies queue on the link of the
+/// server, so they are made one after the other, the most worth first.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnAsk {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(fixed64, tag = "2")]
+    pub server: u64,
+    /// What is lost if the generation is cut, relative to others.
+    #[prost(uint32, tag = "3")]
+    pub worth: u32,
+}
+/// Gives the turn.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Turn {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(fixed64, tag = "2")]
+    pub server: u64,
+}
+/// Gives the turn back, or takes back the ask for it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnDone {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(fixed64, tag = "2")]
+    pub server: u64,
+}
 /// Tells instances that asked lately how busy a backend server is.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Load {
--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -55,17 +55,20 @@
     pub judgement: Judgement,
 }
 
-/// Sends a request to a server. `last_event` is the last event that the caller has, where a stream is
-/// continued.
-pub async fn make(
-    routed: &Routed,
-    call: &Call,
-    server: &ServerRef,
-    last_event: Option<u64>,
-) -> Attempt {
+/// From where a stream is continued.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Resume<'a> {
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// The address of the server that the memory was copied from, and the handle of the copy.
+    pub memory: Option<(&'a str, &'a str)>,
+}
+
+/// Sends a request to a server.
+pub async fn make(routed: &Routed, call: &Call, server: &ServerRef, resume: Resume<'_>) -> Attempt {
     let started = Instant::now();
-    let request = encode(routed, call, server, last_event);
-    let reuse = call.route.kind.repeatable();
+    let request = encode(routed, call, server, resume);
+    let reuse = call.route.kind.repeatable() && resume.memory.is_none();
     let sent = routed.upstream.send(server, request, reuse);
     let attempt = match tokio::time::timeout_at(call.limit, sent).await {
         Ok(Ok((response, connection))) => {
@@ -82,7 +85,7 @@
     routed: &Routed,
     call: &Call,
     server: &ServerRef,
-    last_event: Option<u64>,
+    resume: Resume<'_>,
 ) -> Request<Full<Bytes>> {
     let in_force = routed.shell.in_force();
     let key = (routed.deployment.callers.read)(&call.headers).key;
@@ -94,7 +97,8 @@
         organisation,
         left_ms: left.map(|l| l.as_millis() as u64),
         rank: call.rank,
-        last_event,
+        last_event: resume.last_event,
+        memory: resume.memory,
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -135,6 +135,8 @@
         fingerprint: mix(mix(organisation, kind), content),
         deadline: shell.now() + document.ranks[rank].answer_ms,
         attempts: 0,
+        hint: 0,
+        movable: false,
     }
 }
 
@@ -185,6 +187,10 @@
             }
             Ok(found)
         }
+        Admission::Move(unused, _) => {
+            permit.move_ended(unused, false);
+            Ok(None)
+        }
         Admission::Refuse(..) if began => {
             end_span(&queue, "refused");
             account.close(Ended::Unknown);
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -92,6 +92,10 @@
     let mut began = false;
     loop {
         let server = match permit.admission().await {
+            Admission::Move(unused, _) => {
+                permit.move_ended(unused, false);
+                continue;
+            }
             Admission::Start(server) => server,
             Admission::Refuse(refusal, retry_ms) => {
                 end_span(&queue, "refused");
@@ -419,5 +423,7 @@
         fingerprint: mix(mix(organisation, kind), id_of_bytes(body)),
         deadline: shell.now() + document.ranks[declared.rank].first_token_ms,
         attempts: 0,
+        hint: 0,
+        movable: false,
     }
 }
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod client;
 pub mod clock;
 pub mod collect;
+pub mod copying;
 pub mod engine;
 pub mod error;
 pub mod fleet;
--- a/agaterouted/src/passage.rs
+++ b/agaterouted/src/passage.rs
@@ -1,12 +1,17 @@
 //! Passes a stream of events on to its caller, and continues it on another backend server where that
-//! is allowed.
+//! is allowed: after a cut where the stream may be resumed, and with a copy of its memory where its server
+//! leaves.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
+use agateroute_adapter::server::CopyAnswer;
 use agateroute_config::route::RouteKind;
-use agateroute_core::event::{End, Sign};
-use agateroute_core::events::EventCutter;
 use agateroute_core::Id;
+use agateroute_core::event::{End, RequestId, Sign};
+use agateroute_core::events::EventCutter;
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
@@ -16,15 +21,17 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::account::{Account, Ended};
-use crate::attempt::{self, Attempt, Stream};
+use crate::attempt::{self, Attempt, Resume, Stream};
+use crate::copying::copy;
 use crate::gate::{CutError, GateBody};
 use crate::routed::Routed;
 use crate::serve::{Call, passed_headers};
 use crate::shell::{Admission, Permit, ServerRef};
-use crate::upstream::Connection;
 
 /// The frames that wait for a slow caller.
 const BUFFERED: usize = 8;
+/// How long the last events of a generation that was stopped are waited for.
+const LAST_EVENTS: Duration = Duration::from_millis(20);
 
 /// A stream on its way to its caller.
 #[derive(Debug)]
@@ -40,15 +47,30 @@
 }
 
 /// How a stream from one backend server ended.
-#[derive(Debug, PartialEq)]
+#[derive(Debug)]
 enum StreamEnd {
     Whole,
     Cut(String),
+    /// A copy of its memory is at another server.
+    Copied(Copy),
     CallerGone,
     TimeOver,
 }
 
+/// A copy of the memory of a generation.
+#[derive(Clone, Debug)]
+struct Copy {
+    /// The permit of the destination; none where the generation goes on where it stopped.
+    permit: Option<RequestId>,
+    to: ServerRef,
+    /// The name of the copy, once there is one.
+    handle: Option<String>,
+    /// Whether the generation was told to stop.
+    stops: bool,
+}
+
 type FrameSender = mpsc::Sender<Result<Frame<Bytes>, CutError>>;
+type Copying = Pin<Box<dyn Future<Output = CopyAnswer> + Send>>;
 
 /// Starts to pass a stream on and returns the answer that carries it.
 pub fn start(routed: &Arc<Routed>, passage: Passage, stream: Stream) -> Response<GateBody> {
@@ -56,173 +78,323 @@
     let mut response = Response::new(StreamBody::new(ReceiverStream::new(receiver)).boxed_unsync());
     *response.status_mut() = stream.head.status;
     *response.headers_mut() = passed_headers(&stream.head);
-    tokio::spawn(pass(routed.clone(), passage, stream, sender));
+    let event_tokens = routed.source.capacity(&passage.call.route).map_or(1, |c| c.event_tokens);
+    let relay = Relay {
+        routed: routed.clone(),
+        passage,
+        cutter: EventCutter::default(),
+        event_tokens,
+        sender,
+    };
+    tokio::spawn(relay.run(stream));
     response
 }
 
-async fn pass(routed: Arc<Routed>, mut passage: Passage, stream: Stream, sender: FrameSender) {
-    let mut cutter = EventCutter::default();
-    let event_tokens = routed.source.event_tokens(&passage.call.route);
-    let mut source = (stream.body, stream.connection);
-    let mut keeps = stream.judgement;
-    loop {
+/// Everything that passing one stream on needs.
+struct Relay {
+    routed: Arc<Routed>,
+    passage: Passage,
+    cutter: EventCutter,
+    event_tokens: u32,
+    sender: FrameSender,
+}
+
+impl Relay {
+    async fn run(mut self, stream: Stream) {
+        let mut stream = stream;
         let opened = Instant::now();
-        let (body, connection) = source;
-        let (end, connection) =
-            relay(&mut passage, body, connection, &mut cutter, event_tokens, &sender).await;
-        let tokens = tokens(&cutter, event_tokens);
-        match end {
-            StreamEnd::Whole => {
-                let rest = cutter.take_rest();
-                if !rest.is_empty() {
-                    let _ = sender.send(Ok(Frame::data(rest))).await;
+        loop {
+            let end = self.relay(&mut stream.body).await;
+            let next = match end {
+                StreamEnd::Whole => {
+                    self.finish(stream, opened).await;
+                    return;
+                }
+                StreamEnd::CallerGone => {
+                    let tokens = self.tokens();
+                    self.passage.permit.end(End::Cancelled { tokens });
+                    self.passage.account.close(Ended::Cancelled);
+                    return;
+                }
+                StreamEnd::TimeOver => {
+                    self.give_up(Sign::Nothing, "time_over").await;
+                    return;
                 }
-                passage.permit.end(End::Whole { tokens, took_ms: opened.elapsed().as_millis() as u32 });
-                passage.account.close_stream();
-                if passage.call.route.kind.repeatable() && !keeps.closing {
-                    routed.upstream.keep(connection, keeps.keeps);
+                StreamEnd::Copied(copy) => {
+                    drop(stream);
+                    self.go_on(copy).await
                 }
-                return;
+                StreamEnd::Cut(cause) => {
+                    drop(stream);
+                    self.after_cut(&cause).await
+                }
+            };
+            match next {
+                Some(next) => stream = next,
+                None => return,
             }
-            StreamEnd::CallerGone => {
-                passage.permit.end(End::Cancelled { tokens });
-                passage.account.close(Ended::Cancelled);
-                return;
+        }
+    }
+
+    fn tokens(&self) -> u32 {
+        (self.cutter.events() as u32).saturating_mul(self.event_tokens)
+    }
+
+    async fn finish(mut self, stream: Stream, opened: Instant) {
+        let rest = self.cutter.take_rest();
+        if !rest.is_empty() && self.sender.send(Ok(Frame::data(rest))).await.is_err() {
+            spdlog::debug!("caller_gone_at_end", kv: { request: = &*self.passage.call.id });
+        }
+        let (tokens, took_ms) = (self.tokens(), opened.elapsed().as_millis() as u32);
+        self.passage.permit.end(End::Whole { tokens, took_ms });
+        self.passage.account.close_stream();
+        if self.passage.call.route.kind.repeatable() && !stream.judgement.closing {
+            self.routed.upstream.keep(stream.connection, stream.judgement.keeps);
+        }
+    }
+
+    /// Passes whole events on until the stream ends in one way or another. Meanwhile the memory is copied
+    /// where the reducer says so.
+    async fn relay(&mut self, body: &mut Incoming) -> StreamEnd {
+        let mut made: Option<Copy> = None;
+        let mut copying: Option<Copying> = None;
+        let mut cut: Option<String> = None;
+        let mut stopped: Option<Instant> = None;
+        loop {
+            if let Some(at) = stopped
+                && (cut.is_some() || at.elapsed() >= LAST_EVENTS)
+                && let Some(copy) = made.take()
+            {
+                return StreamEnd::Copied(copy);
             }
-            StreamEnd::TimeOver => {
-                give_up(passage, tokens, Sign::Nothing, &sender, "time_over").await;
-                return;
+            if let (Some(cause), None) = (&cut, &copying) {
+                return match made.take() {
+                    Some(copy) if copy.handle.is_some() => StreamEnd::Copied(copy),
+                    Some(copy) => {
+                        self.move_ended(&copy, false);
+                        StreamEnd::Cut(cause.clone())
+                    }
+                    None => StreamEnd::Cut(cause.clone()),
+                };
             }
-            StreamEnd::Cut(cause) => {
-                drop(connection);
-                let sign = attempt::crash_sign(&routed, &passage.server).await;
-                spdlog::warn!("stream_cut", kv: {
-                    request: = &*passage.call.id,
-                    server: = &*passage.server.name,
-                    events = cutter.events(),
-                    crashed = sign == Sign::Crashed,
-                    cause: = cause.as_str(),
-                });
-                if passage.call.route.kind != RouteKind::ResumableStream {
-                    give_up(passage, tokens, sign, &sender, "cut").await;
-                    return;
-                }
-                cutter.take_rest();
-                match resume(&routed, &mut passage, &cutter, sign, &sender).await {
-                    Some(stream) => {
-                        source = (stream.body, stream.connection);
-                        keeps = stream.judgement;
+            tokio::select! {
+                biased;
+                () = self.sender.closed() => return StreamEnd::CallerGone,
+                frame = body.frame(), if cut.is_none() => match frame {
+                    Some(Ok(frame)) => {
+                        if !self.pass(frame).await {
+                            return StreamEnd::CallerGone;
+                        }
                     }
-                    None => {
-                        give_up(passage, tokens, sign, &sender, "not_resumed").await;
-                        return;
+                    Some(Err(error)) => cut = Some(error.to_string()),
+                    None => return StreamEnd::Whole,
+                },
+                answer = wait(&mut copying), if copying.is_some() => {
+                    copying = None;
+                    if let Some(copy) = made.take() {
+                        (made, copying) = self.next_copy(copy, answer);
+                        if copying.is_none() && made.is_some() {
+                            stopped = Some(Instant::now());
+                        }
                     }
                 }
+                admission = self.passage.permit.admission(), if made.is_none() => {
+                    if let Admission::Move(permit, server) = admission {
+                        (made, copying) = self.first_copy(permit, server);
+                    }
+                }
+                () = tokio::time::sleep(LAST_EVENTS), if stopped.is_some() => {}
+                () = tokio::time::sleep_until(self.passage.call.limit) => {
+                    return StreamEnd::TimeOver;
+                }
             }
         }
     }
-}
 
-fn tokens(cutter: &EventCutter, event_tokens: u32) -> u32 {
-    (cutter.events() as u32).saturating_mul(event_tokens)
-}
-
-/// Passes whole events on until the stream ends in one way or another.
-async fn relay(
-    passage: &mut Passage,
-    mut body: Incoming,
-    connection: Connection,
-    cutter: &mut EventCutter,
-    event_tokens: u32,
-    sender: &FrameSender,
-) -> (StreamEnd, Connection) {
-    let end = loop {
-        let frame = tokio::select! {
-            biased;
-            () = sender.closed() => break StreamEnd::CallerGone,
-            frame = body.frame() => frame,
-            () = tokio::time::sleep_until(passage.call.limit) => break StreamEnd::TimeOver,
-        };
-        let data = match frame {
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) => data,
-                Err(_) => continue,
-            },
-            Some(Err(error)) => break StreamEnd::Cut(error.to_string()),
-            None => break StreamEnd::Whole,
-        };
-        let before = cutter.events();
-        let events = cutter.push(&data);
+    /// Passes the whole events of a frame on. Returns whether the caller is still there.
+    async fn pass(&mut self, frame: Frame<Bytes>) -> bool {
+        let Ok(data) = frame.into_data() else { return true };
+        let before = self.cutter.events();
+        let events = self.cutter.push(&data);
         if events.is_empty() {
-            continue;
+            return true;
         }
-        let fresh = cutter.events() - before;
-        passage.account.tokens(fresh * u64::from(event_tokens));
-        passage.permit.progress(tokens(cutter, event_tokens));
-        if sender.send(Ok(Frame::data(events))).await.is_err() {
-            break StreamEnd::CallerGone;
+        let fresh = self.cutter.events() - before;
+        self.passage.account.tokens(fresh * u64::from(self.event_tokens));
+        let tokens = self.tokens();
+        self.passage.permit.progress(tokens);
+        self.sender.send(Ok(Frame::data(events))).await.is_ok()
+    }
+
+    fn copy_to(&self, to: &ServerRef, last: bool) -> Copying {
+        let (routed, call) = (self.routed.clone(), self.passage.call.clone());
+        Box::pin(copy(routed, call, self.passage.server.clone(), to.address.clone(), last))
+    }
+
+    /// Starts the copy that is made while the generation goes on.
+    fn first_copy(&mut self, permit: RequestId, server: Id) -> (Option<Copy>, Option<Copying>) {
+        match self.server_of(server) {
+            Some(to) => {
+                let copying = self.copy_to(&to, false);
+                (Some(Copy { permit: Some(permit), to, handle: None, stops: false }), Some(copying))
+            }
+            None => {
+                self.passage.permit.move_ended(permit, false);
+                (None, None)
+            }
         }
-    };
-    (end, connection)
-}
+    }
 
-/// Continues a stream on another backend server after the last event that was passed on.
-async fn resume(
-    routed: &Routed,
-    passage: &mut Passage,
-    cutter: &EventCutter,
-    sign: Sign,
-    sender: &FrameSender,
-) -> Option<Stream> {
-    let tokens = 0;
-    passage.permit.end(End::Lost { tokens, sign, again: true });
-    loop {
-        let admission = tokio::select! {
-            biased;
-            () = sender.closed() => return None,
-            admission = passage.permit.admission() => admission,
-            () = tokio::time::sleep_until(passage.call.limit) => return None,
-        };
-        let Admission::Start(server) = admission else { return None };
-        let Some(server) = server_of(routed, server) else {
-            passage.permit.end(End::NotStarted { sign: Sign::Refused });
-            continue;
-        };
-        passage.account.started(&server.name);
-        match attempt::make(routed, &passage.call, &server, cutter.last_id()).await {
-            Attempt::Streams(stream) => {
-                passage.server = server;
-                return Some(stream);
+    /// What follows an answer to a copy: the last copy, the end of the copies, or nothing.
+    fn next_copy(&mut self, copy: Copy, answer: CopyAnswer) -> (Option<Copy>, Option<Copying>) {
+        match answer {
+            CopyAnswer::Copied { handle } if copy.stops => {
+                (Some(Copy { handle: Some(handle), ..copy }), None)
+            }
+            CopyAnswer::Copied { handle } => {
+                let copying = self.copy_to(&copy.to, true);
+                (Some(Copy { handle: Some(handle), stops: true, ..copy }), Some(copying))
+            }
+            CopyAnswer::NoRoom { handle: Some(handle) } if copy.stops => {
+                // It has stopped, and its memory is still where it was.
+                let to = self.passage.server.clone();
+                self.move_ended(&copy, false);
+                (Some(Copy { permit: None, to, handle: Some(handle), stops: true }), None)
             }
-            Attempt::NotStarted(sign) => passage.permit.end(End::NotStarted { sign }),
-            Attempt::Lost(sign) => passage.permit.end(End::Lost { tokens, sign, again: true }),
-            Attempt::Answered(_) | Attempt::TimedOut => {
-                passage.permit.end(End::Lost { tokens, sign: Sign::Nothing, again: false });
-                return None;
+            _ if copy.stops => (Some(copy), None),
+            _ => {
+                self.move_ended(&copy, false);
+                (None, None)
             }
         }
     }
-}
 
-fn server_of(routed: &Routed, server: Id) -> Option<ServerRef> {
-    routed.shell.in_force().servers.get(&server).cloned()
+    fn move_ended(&mut self, copy: &Copy, moved: bool) {
+        if let Some(permit) = copy.permit {
+            self.passage.permit.move_ended(permit, moved);
+        }
+    }
+
+    fn server_of(&self, server: Id) -> Option<ServerRef> {
+        self.routed.shell.in_force().servers.get(&server).cloned()
+    }
+
+    /// Lets a generation go on with a copy of its memory: at the destination, and where that does not
+    /// take it, at the server where it stopped.
+    async fn go_on(&mut self, copy: Copy) -> Option<Stream> {
+        let source = self.passage.server.clone();
+        let handle = copy.handle.clone().unwrap_or_default();
+        self.cutter.take_rest();
+        let memory = Some((&*source.address, handle.as_str()));
+        let resume = Resume { last_event: self.cutter.last_id(), memory };
+        for server in [copy.to.clone(), source.clone()] {
+            let made = attempt::make(&self.routed, &self.passage.call, &server, resume).await;
+            let moved = server.id != source.id;
+            match made {
+                Attempt::Streams(stream) => {
+                    self.move_ended(&copy, moved);
+                    self.passage.account.started(&server.name);
+                    self.passage.server = server;
+                    return Some(stream);
+                }
+                Attempt::NotStarted(_) if moved => {}
+                _ => break,
+            }
+        }
+        self.move_ended(&copy, false);
+        self.give_up(Sign::Nothing, "copy_not_used").await;
+        None
+    }
+
+    /// What to do after a stream was cut: continue it elsewhere where that is allowed.
+    async fn after_cut(&mut self, cause: &str) -> Option<Stream> {
+        let sign = attempt::crash_sign(&self.routed, &self.passage.server).await;
+        spdlog::warn!("stream_cut", kv: {
+            request: = &*self.passage.call.id,
+            server: = &*self.passage.server.name,
+            events = self.cutter.events(),
+            crashed = sign == Sign::Crashed,
+            cause,
+        });
+        if self.passage.call.route.kind != RouteKind::ResumableStream {
+            self.give_up(sign, "cut").await;
+            return None;
+        }
+        self.cutter.take_rest();
+        let resumed = self.resume(sign).await;
+        if resumed.is_none() {
+            self.give_up(sign, "not_resumed").await;
+        }
+        resumed
+    }
+
+    /// Continues a stream on another backend server after the last event that was passed on.
+    async fn resume(&mut self, sign: Sign) -> Option<Stream> {
+        let tokens = 0;
+        self.passage.permit.end(End::Lost { tokens, sign, again: true });
+        loop {
+            let admission = tokio::select! {
+                biased;
+                () = self.sender.closed() => return None,
+                admission = self.passage.permit.admission() => admission,
+                () = tokio::time::sleep_until(self.passage.call.limit) => return None,
+            };
+            let server = match admission {
+                Admission::Start(server) => server,
+                Admission::Move(unused, _) => {
+                    self.passage.permit.move_ended(unused, false);
+                    continue;
+                }
+                Admission::Refuse(..) => return None,
+            };
+            let Some(server) = self.server_of(server) else {
+                self.passage.permit.end(End::NotStarted { sign: Sign::Refused });
+                continue;
+            };
+            self.passage.account.started(&server.name);
+            let resume = Resume { last_event: self.cutter.last_id(), memory: None };
+            match attempt::make(&self.routed, &self.passage.call, &server, resume).await {
+                Attempt::Streams(stream) => {
+                    self.passage.server = server;
+                    return Some(stream);
+                }
+                Attempt::NotStarted(sign) => self.passage.permit.end(End::NotStarted { sign }),
+                Attempt::Lost(sign) => {
+                    self.passage.permit.end(End::Lost { tokens, sign, again: true });
+                }
+                Attempt::Answered(_) | Attempt::TimedOut => {
+                    self.passage.permit.end(End::Lost {
+                        tokens,
+                        sign: Sign::Nothing,
+                        again: false,
+                    });
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Ends a stream that can not be completed so that it does not look complete.
+    async fn give_up(&mut self, sign: Sign, cause: &'static str) {
+        let tokens = self.tokens();
+        spdlog::warn!("stream_given_up", kv: {
+            request: = &*self.passage.call.id,
+            server: = &*self.passage.server.name,
+            tokens,
+            cause,
+        });
+        self.passage.permit.end(End::Lost { tokens, sign, again: false });
+        self.passage.account.close(Ended::Partial);
+        if self.sender.send(Err(cause.into())).await.is_err() {
+            spdlog::debug!("caller_gone_at_end", kv: { request: = &*self.passage.call.id });
+        }
+    }
 }
 
-/// Ends a stream that can not be completed so that it does not look complete.
-async fn give_up(
-    mut passage: Passage,
-    tokens: u32,
-    sign: Sign,
-    sender: &FrameSender,
-    cause: &'static str,
-) {
-    spdlog::warn!("stream_given_up", kv: {
-        request: = &*passage.call.id,
-        server: = &*passage.server.name,
-        tokens,
-        cause,
-    });
-    passage.permit.end(End::Lost { tokens, sign, again: false });
-    passage.account.close(Ended::Partial);
-    let _ = sender.send(Err(cause.into())).await;
+/// Waits for a copy, for ever where there is none.
+async fn wait(copying: &mut Option<Copying>) -> CopyAnswer {
+    match copying {
+        Some(copying) => copying.await,
+        None => std::future::pending().await,
+    }
 }
--- a/agaterouted/src/routed.rs
+++ b/agaterouted/src/routed.rs
@@ -91,8 +91,11 @@
     let telemetry = Telemetry::start(&settings).map_err(fail("telemetry"))?;
     let (jobs, queued) = tokio::sync::mpsc::unbounded_channel();
     let client = Client::new(STORE_TIME);
-    let table =
-        Table { adapter: deployment.rows, address: deployment.table.clone(), client: client.clone() };
+    let table = Table {
+        adapter: deployment.rows,
+        address: deployment.table.clone(),
+        client: client.clone(),
+    };
     let shell = Arc::new(Shell::new(settings, telemetry, jobs).with_table(table));
     let routed = Arc::new(Routed {
         shell: shell.clone(),
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -15,14 +15,16 @@
 use agateroute_core::id::{Id, id_of_bytes, mix};
 use agateroute_core::routes::pick_target;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request, response};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request, response,
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use opentelemetry::trace::SpanKind;
 use tokio::time::Instant;
 
 use crate::account::{Account, Ended, Subject, Targets};
-use crate::attempt::{self, Answer, Attempt};
+use crate::attempt::{self, Answer, Attempt, Resume};
 use crate::error::{ApiError, OUTCOME_HEADER, Outcome};
 use crate::gate::{GateBody, whole};
 use crate::passage::{self, Passage};
@@ -152,11 +154,13 @@
     };
     let context = routed.shell.telemetry.span("caller", SpanKind::Server, &extract(&head.headers));
     let account = Account::open(&routed.shell, subject, targets, context)?;
-    let ticket = ticket(routed, &in_force, &route, &facts, &organisation, rank, limit, &path, &body);
+    let ticket =
+        ticket(routed, &in_force, &route, &facts, &organisation, rank, limit, &path, &body);
     let (method, headers) = (head.method.clone(), head.headers.clone());
     drop(facts);
     let id = id.clone();
-    let call = Arc::new(Call { id, method, path, headers, body, host, route, rank, deadline, limit });
+    let call =
+        Arc::new(Call { id, method, path, headers, body, host, route, rank, deadline, limit });
     run(routed, call, account, ticket).await
 }
 
@@ -274,6 +278,8 @@
         shared: shared.iter().map(|p| p.tokens).sum(),
         fingerprint: mix(mix(organisation, id(path)), id_of_bytes(body)),
         deadline: routed.shell.now() + patience.as_millis() as u64,
+        hint: facts.length_hint.unwrap_or(0),
+        movable: route.kind.streams() && routed.source.capacity(route).is_some_and(|c| c.moves),
         attempts: if route.kind.repeatable() { route.attempts } else { 1 },
     }
 }
@@ -300,6 +306,10 @@
         let admission = tokio::time::timeout_at(call.limit, permit.admission()).await;
         let server = match admission {
             Ok(Admission::Start(server)) => server,
+            Ok(Admission::Move(unused, _)) => {
+                permit.move_ended(unused, false);
+                continue;
+            }
             Ok(Admission::Refuse(refusal, retry_ms)) => {
                 return finish(progress, account, refused(refusal, retry_ms));
             }
@@ -308,7 +318,7 @@
         let Some(server) = allowed(routed, &call, server, &mut permit, &mut account)? else {
             continue;
         };
-        match attempt::make(routed, &call, &server, None).await {
+        match attempt::make(routed, &call, &server, Resume::default()).await {
             Attempt::Streams(answer) => {
                 let passage = Passage { call: call.clone(), permit, account, server };
                 return Ok(passage::start(routed, passage, answer));
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -7,14 +7,14 @@
 use agateroute_config::{Document, Settings};
 use agateroute_core::effect::Refusal;
 use agateroute_core::event::{End, RequestId, Ticket};
-use agateroute_core::id::Millis;
 use agateroute_core::freshness::Freshness;
+use agateroute_core::id::Millis;
 use agateroute_core::membership::Peer;
 use agateroute_core::routes::RouteTable;
 use agateroute_core::{Effect, Event, Id, State, Table, id};
 use agateroute_proto::peers::message::Body;
-use agateroute_storage::table::Table as TableService;
 use agateroute_proto::peers::{Claim, ClaimOutcome, Message, Sign};
+use agateroute_storage::table::Table as TableService;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::auth::KeyRing;
@@ -58,6 +58,8 @@
 pub enum Admission {
     /// Start on this backend server.
     Start(Id),
+    /// Move to this backend server, which is permitted under the request.
+    Move(RequestId, Id),
     /// Refused as not run, with the time after which asking again makes sense, in milliseconds.
     Refuse(Refusal, u32),
 }
@@ -392,6 +394,9 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Start { request, server } => self.admit(request, Admission::Start(server)),
+            Effect::Move { request, permit, server } => {
+                self.admit(request, Admission::Move(permit, server));
+            }
             Effect::Refuse { request, refusal, retry_ms } => {
                 self.admit(request, Admission::Refuse(refusal, retry_ms));
             }
@@ -474,10 +479,32 @@
     pub async fn admission(&mut self) -> Admission {
         let admission = self.admissions.recv().await;
         let admission = admission.unwrap_or(Admission::Refuse(Refusal::Failed, 0));
-        self.running = matches!(admission, Admission::Start(_));
+        self.note(admission);
         admission
     }
 
+    fn note(&mut self, admission: Admission) {
+        match admission {
+            Admission::Start(_) => self.running = true,
+            Admission::Refuse(..) => self.running = false,
+            Admission::Move(..) => {}
+        }
+    }
+
+    /// Notes how a move ended. Where the work goes on at the destination, it is known under the request
+    /// of that permit from now on.
+    pub fn move_ended(&mut self, permit: RequestId, moved: bool) {
+        let request = self.request;
+        if moved {
+            let mut inner = self.shell.lock();
+            if let Some(waiter) = inner.waiters.remove(&request) {
+                inner.waiters.insert(permit, waiter);
+            }
+            self.request = permit;
+        }
+        self.shell.apply(Event::MoveEnded { request, permit, moved });
+    }
+
     /// Reports the tokens generated so far.
     pub fn progress(&mut self, tokens: u32) {
         self.tokens = tokens;
@@ -502,7 +529,7 @@
         let request = self.request;
         self.shell.lock().waiters.remove(&request);
         while let Ok(admission) = self.admissions.try_recv() {
-            self.running = matches!(admission, Admission::Start(_));
+            self.note(admission);
         }
         if self.running {
             self.end(End::Cancelled { tokens: self.tokens });
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -109,13 +109,12 @@
         *self.address.write().unwrap_or_else(PoisonError::into_inner) = address.to_owned();
     }
 
-    /// The tokens in one event of the streams of a route.
-    pub fn event_tokens(&self, route: &Route) -> u32 {
+    /// What the backend servers of a route can take, by its first target.
+    pub fn capacity(&self, route: &Route) -> Option<ServiceCapacity> {
         let state = self.lock();
-        let service = route.targets.first().map(|t| t.service.as_str());
-        let capacities = state.declared.iter().flat_map(|d| d.capacities.iter());
-        let mut found = capacities.filter(|(name, _)| Some(name.as_str()) == service);
-        found.next().map_or(1, |(_, c)| c.event_tokens)
+        let service = route.targets.first()?.service.as_str();
+        let declared = state.declared.as_ref()?;
+        declared.capacities.iter().find(|(name, _)| name == service).map(|(_, c)| *c)
     }
 
     /// Whether the backend servers were ever read.
@@ -283,13 +282,13 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct PeerDocument {
     document: Document,
-    capacities: Vec<(String, Option<u64>, u32)>,
+    capacities: Vec<(String, Option<u64>, u32, bool)>,
 }
 
 impl PeerDocument {
     fn into_declared(self, version: u64) -> Declared {
-        let capacity = |(name, memory_tokens, event_tokens)| {
-            (name, ServiceCapacity { memory_tokens, event_tokens })
+        let capacity = |(name, memory_tokens, event_tokens, moves)| {
+            (name, ServiceCapacity { memory_tokens, event_tokens, moves })
         };
         let capacities = self.capacities.into_iter().map(capacity).collect();
         Declared { version, document: self.document, capacities }
@@ -311,7 +310,7 @@
             capacities: declared
                 .capacities
                 .iter()
-                .map(|(n, c)| (n.clone(), c.memory_tokens, c.event_tokens))
+                .map(|(n, c)| (n.clone(), c.memory_tokens, c.event_tokens, c.moves))
                 .collect(),
         };
         match serde_json::to_string(&held) {
@@ -378,9 +377,7 @@
         let mine = follows_changes(&routed.shell);
         let revision = after.filter(|_| mine && reads < CHANGES_MOST);
         let read = match revision {
-            Some(revision) => {
-                routed.source.read_changes(&routed.deployment, table, revision).await
-            }
+            Some(revision) => routed.source.read_changes(&routed.deployment, table, revision).await,
             None => routed.source.read_whole(&routed.deployment, table).await,
         };
         reads = if revision.is_some() { reads + 1 } else { 0 };
@@ -486,7 +483,8 @@
     let mut dialed: Table<String, ()> = Table::default();
     let mut announced = 0;
     loop {
-        if unix_seconds().abs_diff(announced) >= ANNOUNCE_SECONDS && announce(&routed, false).await {
+        if unix_seconds().abs_diff(announced) >= ANNOUNCE_SECONDS && announce(&routed, false).await
+        {
             announced = unix_seconds();
         }
         match table.query(INSTANCES_PARTITION, "", INSTANCES_MOST).await {
@@ -520,7 +518,8 @@
             }
         };
         instances.push(Listed { name: row.sort, leaving: read.leaving });
-        if read.address != shell.settings.peer && dialed.insert(read.address.clone(), ()).is_none() {
+        if read.address != shell.settings.peer && dialed.insert(read.address.clone(), ()).is_none()
+        {
             tokio::spawn(keep_dialing(shell.clone(), read.address, cancel.child_token()));
         }
     }
--- a/agaterouted/src/upstream.rs
+++ b/agaterouted/src/upstream.rs
@@ -185,7 +185,9 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<hyper::Response<Incoming>, (SendError, Unsent)> {
-    let Some(sender) = &mut connection.sender else { unreachable!("the sender is there until drop") };
+    let Some(sender) = &mut connection.sender else {
+        unreachable!("the sender is there until drop")
+    };
     sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
         Some(unsent) => (SendError::NotSent(e.into_error()), Some(unsent)),
         None => (SendError::Lost(e.into_error()), None),
