Name the organisation that held the key at arrival, refuse what a stopping instance would cut

Change: a request keeps the organisation of its arrival; agateroute_core::leaving says what fits in the time that is left, the rest is refused as not run with the time to ask another instance.

--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod health;
 pub mod id;
 pub mod lease;
+pub mod leaving;
 pub mod ledger;
 pub mod membership;
 pub mod memory;
--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -87,14 +87,10 @@
     server: &ServerRef,
     resume: Resume<'_>,
 ) -> Request<Full<Bytes>> {
-    let in_force = routed.shell.in_force();
-    let key = (routed.deployment.callers.read)(&call.headers).key;
-    let organisation = key.and_then(|k| in_force.keys.find(k));
-    let organisation = organisation.map(|at| in_force.document.organisations[at].name.as_str());
     let left = call.deadline.map(|d| d.min(call.limit).saturating_duration_since(Instant::now()));
     let order = Order {
         server: &server.name,
-        organisation,
+        organisation: call.organisation.as_deref(),
         left_ms: left.map(|l| l.as_millis() as u64),
         rank: call.rank,
         last_event: resume.last_event,
--- a/agaterouted/src/routed.rs
+++ b/agaterouted/src/routed.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use agateroute_adapter::{Bounds, Deployment};
@@ -48,9 +48,15 @@
     /// The connections to backend servers.
     pub upstream: Upstream,
     bounds: RwLock<Bounds>,
+    leaves_at: OnceLock<Instant>,
 }
 
 impl Routed {
+    /// How long this instance still serves, where it was told to stop.
+    pub fn leaves_in(&self) -> Option<Duration> {
+        self.leaves_at.get().map(|at| at.saturating_duration_since(Instant::now()))
+    }
+
     /// The bounds in force.
     pub fn bounds(&self) -> Bounds {
         *self.bounds.read().unwrap_or_else(PoisonError::into_inner)
@@ -102,6 +108,7 @@
         source: Source::new(client, &deployment),
         upstream: Upstream::default(),
         bounds: RwLock::new(deployment.bounds),
+        leaves_at: OnceLock::new(),
         deployment,
     });
     let cancel = CancellationToken::new();
@@ -213,6 +220,7 @@
     let told = Instant::now();
     let shell = &routed.shell;
     let most = millis(routed.bounds().grace_ms).saturating_sub(LEAVE_MARGIN);
+    let _ = routed.leaves_at.set(told + most);
     let active = shell.active.load(Ordering::Acquire);
     spdlog::info!("leaving", kv: { active, most_ms = most.as_millis() as u64 });
     shell.leave();
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -11,7 +11,7 @@
 use agateroute_core::catalog::{model_id, service_id};
 use agateroute_core::effect::Refusal;
 use agateroute_core::event::{End, Ticket};
-use agateroute_core::id;
+use agateroute_core::{id, leaving};
 use agateroute_core::id::{Id, id_of_bytes, mix};
 use agateroute_core::routes::pick_target;
 use bytes::Bytes;
@@ -40,6 +40,9 @@
 const RETRY_MS: u32 = 1_000;
 /// When asking again makes sense while no document is in force or it can not be read, in milliseconds.
 const UNREADY_RETRY_MS: u32 = 500;
+/// When asking again makes sense while this instance stops, in milliseconds: at once, since a repeat
+/// goes to another one.
+const STOPPING_RETRY_MS: u32 = 50;
 /// How old a reading may be so that a route or key that it does not name does not exist, in
 /// milliseconds. An older one may just have missed it.
 const KNOWN_MS: u64 = 2_000;
@@ -61,8 +64,9 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
-    /// The host, in lower case and without a port.
-    pub host: String,
+    /// The organisation that held the key at arrival. A stream that goes on elsewhere belongs to it also
+    /// after the key was withdrawn.
+    pub organisation: Option<Arc<str>>,
     /// The route at arrival.
     pub route: Route,
     /// The rank.
@@ -132,6 +136,7 @@
     let host = host_of(&head);
     let route = find_route(routed, &in_force, &host, head.uri.path())?.clone();
     let organisation = permitted(routed, &in_force, &route, &head.headers)?;
+    refuse_what_is_cut(routed, &route, &head.headers)?;
     let body = read_body(body, &in_force, millis(route.timeout_ms)).await?;
     let facts = (routed.deployment.callers.read)(&head.headers);
     let deadline = facts.deadline_ms.map(|ms| arrived + millis(ms));
@@ -139,7 +144,8 @@
     let limit = deadline.map_or(due, |d| (d - DEADLINE_MARGIN).min(due));
     let ranked = organisation.as_ref().and_then(|o| o.rank.as_deref()).unwrap_or(&route.rank);
     let rank = in_force.document.rank_index(ranked).unwrap_or(0) as u8;
-    let organisation: Arc<str> = organisation.map_or(PUBLIC, |o| o.name.as_str()).into();
+    let named: Option<Arc<str>> = organisation.map(|o| o.name.as_str().into());
+    let organisation = named.clone().unwrap_or_else(|| PUBLIC.into());
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let subject = Subject {
         request: id.clone(),
@@ -159,8 +165,18 @@
     let (method, headers) = (head.method.clone(), head.headers.clone());
     drop(facts);
     let id = id.clone();
-    let call =
-        Arc::new(Call { id, method, path, headers, body, host, route, rank, deadline, limit });
+    let call = Arc::new(Call {
+        id,
+        method,
+        path,
+        headers,
+        body,
+        organisation: named,
+        route,
+        rank,
+        deadline,
+        limit,
+    });
     run(routed, call, account, ticket).await
 }
 
@@ -214,6 +230,21 @@
     found.map(Some).ok_or_else(missing)
 }
 
+/// Refuses what can not be answered before this instance is gone. Another one serves it whole.
+fn refuse_what_is_cut(routed: &Routed, route: &Route, headers: &HeaderMap) -> Result<(), ApiError> {
+    let Some(left) = routed.leaves_in() else { return Ok(()) };
+    let facts = (routed.deployment.callers.read)(headers);
+    let most = facts.size.map_or(u32::MAX, |s| s.most);
+    let hint = facts.length_hint.unwrap_or(0);
+    if leaving::fits(left.as_millis() as u64, route.kind, most, hint) {
+        return Ok(());
+    }
+    let message = "this instance is stopping and would not answer before it is gone".to_owned();
+    let mut error = ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping", message);
+    error.retry_ms = STOPPING_RETRY_MS;
+    Err(error)
+}
+
 fn unready(message: &str) -> ApiError {
     let mut error =
         ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message.to_owned());
