Moves stay in the availability zone and overlap, prompts that are not read yet count as load

Cause: copies between zones take twice as long and a turn lasted until the generation went on elsewhere, so about four of eight generations of a crowded server were moved in time; new prompts landed together (first events after 1 to 4 s with half of the places free). Ruled out: late news of leaving servers (0.06 s by the peers' link). Change: destinations in the zone of the source unless much busier, the turn goes on when the last copy is ordered, a destination that did not take a generation is not asked again at once; an engine's load counts unread prompts three times.

--- a/agateroute_core/src/catalog.rs
+++ b/agateroute_core/src/catalog.rs
@@ -15,6 +15,8 @@
         pub name: String,
         /// What the server can take.
         pub capacity: Capacity,
+        /// The availability zone.
+        pub zone: Id,
     }
 
     /// What a rank promises.
@@ -71,7 +73,7 @@
                 (None, Some(p)) => Capacity::Slots { slots: p.slots, adaptive: p.adaptive },
                 (None, None) => Capacity::Slots { slots: 1, adaptive: true },
             };
-            (id(&s.name), ServerInfo { name: s.name.clone(), capacity })
+            (id(&s.name), ServerInfo { name: s.name.clone(), capacity, zone: id(&s.zone) })
         });
         let models = document.models.iter().map(|m| {
             let runs = document.servers.iter().filter(|s| s.runs_model(&m.name));
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -39,6 +39,9 @@
 const LOAD_STEP: u32 = 20;
 /// How much longer than its time an ask may be predicted to wait before it is denied at once.
 const PREDICTION_SLACK: f64 = 1.25;
+/// How often a prompt that is not read yet counts in the load of an engine: what comes behind it waits
+/// until it is read, and the tokens of others come slower meanwhile.
+const UNREAD_FACTOR: usize = 3;
 /// The most cached prefixes that are remembered for one engine.
 const CACHED_MOST: usize = 4_096;
 /// How long a desk that reads no load reports stays closed after a sign that its server is gone, in
@@ -521,8 +524,11 @@
         let share = |part: usize, whole: usize| (1000 * part / whole.max(1)) as u32;
         let used = match self.capacity {
             Capacity::Engine { memory, batch } => {
+                let unread = self.running.iter().filter(|h| h.tokens == 0);
+                let unread: u32 = unread.map(|h| h.prompt).sum();
                 let filled = share(self.account() as usize, memory as usize);
                 filled.max(share(self.running.len(), batch as usize))
+                    + share(unread as usize * UNREAD_FACTOR, memory as usize)
             }
             Capacity::Slots { .. } => share(self.running.len(), self.limit.allowed()),
         };
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -20,7 +20,10 @@
 /// The most servers that are asked at once for one request.
 const ASKS_MOST: usize = 4;
 /// The servers that are drawn for a choice.
-const DRAWS: usize = 4;
+const DRAWS: usize = 12;
+/// How much busier a server of the same availability zone may be for a move, in thousandths: a copy
+/// between zones takes twice as long.
+const FAR_PRESSURE: u32 = 300;
 /// How much busier than the mean the server with the cached prefix may be, in thousandths.
 const PREFIX_SLACK: u32 = 250;
 /// The tokens after which progress is reported to the owner.
@@ -49,8 +52,8 @@
         pub attempts: u32,
         /// The backend servers that may have begun it.
         pub begun: u32,
-        /// The running request that is to move under this permit.
-        pub moves: Option<RequestId>,
+        /// The running request that is to move under this permit, and from where.
+        pub moves: Option<(RequestId, Id)>,
     }
 
     /// A request that runs under a permit.
@@ -139,7 +142,8 @@
         let excluded: Vec<Id> =
             pending.tried.iter().copied().chain(pending.asks.iter().map(|a| a.0)).collect();
         let (alone, idle) = (pending.alone, pending.asks.is_empty());
-        match self.choose(&ticket, &excluded, alone) {
+        let near = pending.moves.map(|(_, from)| from);
+        match self.choose(&ticket, &excluded, alone, near) {
             Some(server) => self.ask_for(request, server),
             None if idle => self.give_up(request),
             None => {}
@@ -176,19 +180,25 @@
     }
 
     /// Places the part of a running request that moves: asks for a server for it under another id.
-    pub(crate) fn place_move(&mut self, moving: RequestId, ticket: Ticket, from: Id) {
+    pub(crate) fn place_move(
+        &mut self,
+        moving: RequestId,
+        ticket: Ticket,
+        from: Id,
+        tried: Vec<Id>,
+    ) {
         let request = ticket.request;
         let pending = Pending {
             ticket,
             alone: false,
             asks: Vec::new(),
-            tried: vec![from],
+            tried,
             widen: self.now + HEDGE_MS,
             pause: HEDGE_MS,
             denied: None,
             attempts: 0,
             begun: 0,
-            moves: Some(moving),
+            moves: Some((moving, from)),
         };
         self.entry.pending.insert(request, pending);
         self.ask_next(request);
@@ -197,7 +207,13 @@
     /// Picks a server: the one that has computed the prefix lately, unless it is far busier than the
     /// others, and else the least busy of a few drawn at random. Drawing keeps the instances from all
     /// running to the server that looked idle a moment ago.
-    fn choose(&mut self, ticket: &Ticket, excluded: &[Id], alone: bool) -> Option<Id> {
+    fn choose(
+        &mut self,
+        ticket: &Ticket,
+        excluded: &[Id],
+        alone: bool,
+        near: Option<Id>,
+    ) -> Option<Id> {
         let runs = self.catalog.targets.get(&ticket.target)?;
         let usable: Vec<Id> = runs
             .iter()
@@ -220,7 +236,11 @@
         }
         let drawn: Vec<Id> =
             (0..DRAWS).map(|_| self.draw(usable.len())).map(|at| usable[at]).collect();
-        drawn.into_iter().min_by_key(|s| self.health.pressure(*s))
+        let zone = near.and_then(|from| self.zones.get(&from).copied());
+        let far = |s: Id| zone.is_some() && self.zones.get(&s).copied() != zone;
+        drawn
+            .into_iter()
+            .min_by_key(|s| self.health.pressure(*s) + if far(*s) { FAR_PRESSURE } else { 0 })
     }
 
     pub(crate) fn granted(&mut self, peer: Id, grant: &Grant) {
@@ -258,7 +278,7 @@
         self.entry.running.insert(request, running);
         match pending.moves {
             None => self.effects.push(Effect::Start { request, server }),
-            Some(moving) => self.move_permitted(moving, request, server),
+            Some((moving, _)) => self.move_permitted(moving, request, server),
         }
     }
 
@@ -293,7 +313,7 @@
     /// Refuses a request that has nothing left to ask for.
     fn give_up(&mut self, request: RequestId) {
         let Some(pending) = self.entry.pending.remove(&request) else { return };
-        if let Some(moving) = pending.moves {
+        if let Some((moving, _)) = pending.moves {
             self.move_refused(moving);
             return;
         }
@@ -332,7 +352,8 @@
         running.tokens = running.tokens.max(tokens);
         self.move_begun(request);
         let Some(running) = self.entry.running.get_mut(&request) else { return };
-        if running.tokens < running.reported + PROGRESS_TOKENS {
+        // The first tokens tell the owner that the prompt was read.
+        if running.reported > 0 && running.tokens < running.reported + PROGRESS_TOKENS {
             return;
         }
         running.reported = running.tokens;
@@ -409,7 +430,7 @@
         for request in late {
             if let Some(pending) = self.entry.pending.remove(&request) {
                 self.withdraw_all(&pending);
-                if let Some(moving) = pending.moves {
+                if let Some((moving, _)) = pending.moves {
                     self.move_refused(moving);
                     continue;
                 }
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -157,6 +157,11 @@
             /// How.
             end: End,
         },
+        /// Most of the memory of a generation that moves was copied, and the rest was ordered.
+        MoveCopied {
+            /// The request.
+            request: RequestId,
+        },
         /// A move of a generation to another backend server came to an end.
         MoveEnded {
             /// The request.
--- a/agateroute_core/src/migration.rs
+++ b/agateroute_core/src/migration.rs
@@ -22,8 +22,9 @@
 const OWNER_SILENCE_MS: Millis = 1_500;
 /// How long a destination may take to permit, in milliseconds.
 const PERMIT_MS: Millis = 400;
-/// The pause before a move that found no destination is tried again, in milliseconds.
-const AGAIN_MS: Millis = 100;
+/// The pause before a move that found no destination is tried again, in milliseconds: a tick, so that
+/// others have their turn first.
+const AGAIN_MS: Millis = 25;
 /// How often one generation is tried to be moved away from one server.
 const TRIES_MOST: u32 = 6;
 /// Sets the ids under which destinations are permitted apart from those of requests.
@@ -59,6 +60,8 @@
         pub stage: Stage,
         /// How often it was tried.
         pub tries: u32,
+        /// The destination that did not take it last.
+        pub failed: Option<Id>,
     }
 
     struct Waiting {
@@ -124,15 +127,16 @@
             && !self.migration.moves.contains(&request)
             && !ends_in_time(&running.ticket, running.tokens);
         if wanted {
-            self.ask_turn(request, server, 0);
+            self.ask_turn(request, server, None);
         }
     }
 
-    fn ask_turn(&mut self, request: RequestId, server: Id, tries: u32) {
+    fn ask_turn(&mut self, request: RequestId, server: Id, former: Option<Move>) {
         let Some(running) = self.entry.running.get(&request) else { return };
         let worth = worth(&running.ticket);
         let stage = Stage::Turn(self.now);
-        self.migration.moves.insert(request, Move { server, stage, tries });
+        let (tries, failed) = former.map_or((0, None), |m| (m.tries, m.failed));
+        self.migration.moves.insert(request, Move { server, stage, tries, failed });
         let owner = self.owner_of(server);
         self.send(owner, Body::TurnAsk(TurnAsk { request, server, worth }));
     }
@@ -181,7 +185,7 @@
         let Some(moving) = self.migration.moves.get_mut(&request) else { return };
         moving.stage = Stage::Destination;
         moving.tries += 1;
-        let (server, tries) = (moving.server, moving.tries);
+        let (server, tries, failed) = (moving.server, moving.tries, moving.failed);
         let ticket = Ticket {
             request: request + PERMIT_STRIDE * u64::from(tries),
             prompt: running.ticket.prompt + running.tokens,
@@ -192,7 +196,8 @@
             deadline: self.now + PERMIT_MS,
             ..running.ticket.clone()
         };
-        self.place_move(request, ticket, server);
+        let avoided = [Some(server), failed].into_iter().flatten().collect();
+        self.place_move(request, ticket, server, avoided);
     }
 
     /// A destination is permitted.
@@ -215,6 +220,13 @@
         self.give_turn_back(request, server);
     }
 
+    /// Most of a copy is made and the rest is ordered, so the next one can begin behind it.
+    pub(crate) fn move_copied(&mut self, request: RequestId) {
+        if let Some(moving) = self.migration.moves.get(&request) {
+            self.give_turn_back(request, moving.server);
+        }
+    }
+
     fn give_turn_back(&mut self, request: RequestId, server: Id) {
         let owner = self.owner_of(server);
         self.send(owner, Body::TurnDone(TurnDone { request, server }));
@@ -240,6 +252,7 @@
         };
         let server = moving.server;
         moving.stage = Stage::Again(now + AGAIN_MS);
+        moving.failed = self.entry.running.get(&permit).map(|r| r.server);
         self.give_turn_back(request, server);
         if !moved {
             self.abandon(permit);
@@ -253,7 +266,7 @@
             let ticket = Ticket { request: permit, ..former.ticket };
             running.ticket = ticket;
             running.tokens = former.tokens;
-            running.reported = former.tokens;
+            running.reported = 0;
             running.begun = former.begun;
             running.attempts = former.attempts;
         }
@@ -264,7 +277,7 @@
     pub(crate) fn forget_move(&mut self, request: RequestId) {
         let Some(moving) = self.migration.moves.remove(&request) else { return };
         self.give_turn_back(request, moving.server);
-        let pending = |p: &crate::entry::Pending| p.moves == Some(request);
+        let pending = |p: &crate::entry::Pending| p.moves.is_some_and(|(r, _)| r == request);
         let asked = self.entry.pending.iter().find(|(_, p)| pending(p)).map(|(r, _)| *r);
         if let Some(permit) = asked {
             self.abandon(permit);
@@ -288,7 +301,7 @@
         }
         for (request, moving) in again {
             if moving.tries < TRIES_MOST {
-                self.ask_turn(request, moving.server, moving.tries);
+                self.ask_turn(request, moving.server, Some(moving));
             }
         }
         for request in alone {
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -27,6 +27,8 @@
 
 /// How long a peer that is neither linked nor listed is remembered, in milliseconds.
 const FORGET_MS: Millis = 30_000;
+/// The servers whose zones are remembered before those that left are forgotten.
+const ZONES_MOST: usize = 10_000;
 /// The silences of a peer after which the permits that it holds are given up.
 const SILENCES_GIVEN_UP: u64 = 5;
 
@@ -54,6 +56,8 @@
     pub(crate) health: HealthTable,
     pub(crate) prefixes: Prefixes,
     pub(crate) budget: Budget,
+    /// The availability zones of servers, also of those that left lately.
+    pub(crate) zones: Table<Id, Id>,
     pub(crate) effects: Vec<Effect>,
     owners: Vec<Id>,
     local: Vec<Body>,
@@ -78,6 +82,7 @@
             health: HealthTable::default(),
             prefixes: Prefixes::default(),
             budget: Budget::default(),
+            zones: Table::default(),
             effects: Vec::new(),
             local: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -121,6 +126,7 @@
             }
             Event::Unreported { server, refused } => self.unreported(server, refused),
             Event::ServerLeaving { server } => self.server_leaving(server),
+            Event::MoveCopied { request } => self.move_copied(request),
             Event::MoveEnded { request, permit, moved } => {
                 self.move_ended(request, permit, moved);
             }
@@ -140,6 +146,12 @@
     fn configure(&mut self, document: Arc<Document>) {
         self.catalog = Arc::new(Catalog::new(document));
         let catalog = self.catalog.clone();
+        if self.zones.len() > ZONES_MOST {
+            self.zones.retain(|server, _| catalog.servers.contains(server));
+        }
+        for (server, info) in catalog.servers.iter() {
+            self.zones.insert(*server, info.zone);
+        }
         self.health.keep(|s| catalog.servers.contains(&s));
         for (server, desk) in self.desks.iter_mut() {
             if let Some(info) = catalog.servers.get(server) {
--- a/agaterouted/src/passage.rs
+++ b/agaterouted/src/passage.rs
@@ -253,6 +253,7 @@
             }
             CopyAnswer::Copied { handle } => {
                 let copying = self.copy_to(&copy.to, true);
+                self.passage.permit.move_copied();
                 (Some(Copy { handle: Some(handle), stops: true, ..copy }), Some(copying))
             }
             CopyAnswer::NoRoom { handle: Some(handle) } if copy.stops => {
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -11,9 +11,9 @@
 use agateroute_core::catalog::{model_id, service_id};
 use agateroute_core::effect::Refusal;
 use agateroute_core::event::{End, Ticket};
-use agateroute_core::{id, leaving};
 use agateroute_core::id::{Id, id_of_bytes, mix};
 use agateroute_core::routes::pick_target;
+use agateroute_core::{id, leaving};
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request, response,
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -491,6 +491,11 @@
         }
     }
 
+    /// Notes that most of the memory is copied and the rest is ordered.
+    pub fn move_copied(&mut self) {
+        self.shell.apply(Event::MoveCopied { request: self.request });
+    }
+
     /// Notes how a move ended. Where the work goes on at the destination, it is known under the request
     /// of that permit from now on.
     pub fn move_ended(&mut self, permit: RequestId, moved: bool) {
