--- a/agateroute_core/src/migration.rs
+++ b/agateroute_core/src/migration.rs
@@ -36,6 +36,8 @@
 const TOKEN_MS: u64 = 12;
 /// How far the hint of a caller may be off on the short side, as a factor.
 const HINT_FACTOR: u32 = 2;
+/// How long news that a server leaves outweigh a document that still declares it, in milliseconds.
+const RETURN_MS: Millis = 3_000;
 /// How long a server counts as leaving after it was last said to, in milliseconds.
 const LEAVING_MS: Millis = 60_000;
 
@@ -87,6 +89,14 @@
     leaving: Table<Id, Millis>,
 }
 
+impl Migration {
+    /// Forgets that servers were leaving which are declared again: a restarted one may have the name that
+    /// it had.
+    pub(crate) fn returned(&mut self, now: Millis, declared: impl Fn(Id) -> bool) {
+        self.leaving.retain(|server, since| now < *since + RETURN_MS || !declared(*server));
+    }
+}
+
 /// What is lost if a generation is cut: what was read for it and what it may produce.
 fn worth(ticket: &Ticket) -> u32 {
     ticket.prompt.saturating_add(ticket.most.saturating_mul(10))
@@ -105,14 +115,11 @@
     /// Begins to move away what this instance runs on a server that leaves.
     pub(crate) fn move_all(&mut self, server: Id) {
         self.migration.leaving.insert(server, self.now);
-        let here: Vec<RequestId> = self
-            .entry
-            .running
-            .iter()
-            .filter(|(_, r)| r.server == server)
-            .map(|(request, _)| *request)
-            .collect();
-        for request in here {
+        let running = self.entry.running.iter().filter(|(_, r)| r.server == server);
+        let mut here: Vec<(u32, RequestId)> =
+            running.map(|(request, r)| (worth(&r.ticket), *request)).collect();
+        here.sort_unstable_by(|a, b| b.cmp(a));
+        for (_, request) in here {
             self.move_begun(request);
         }
     }
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -149,6 +149,7 @@
         if self.zones.len() > ZONES_MOST {
             self.zones.retain(|server, _| catalog.servers.contains(server));
         }
+        self.migration.returned(self.now, |s| catalog.servers.contains(&s));
         for (server, info) in catalog.servers.iter() {
             self.zones.insert(*server, info.zone);
         }
--- /dev/null
+++ b/agateroute_core/tests/freshness.rs
@@ -0,0 +1,60 @@
+//! How fresh the document in force is, on machines that are cut off, suspended or told by peers.
+
+use agateroute_core::freshness::Freshness;
+
+const BOUND: u64 = 5_000;
+
+#[test]
+fn counts_from_asking() {
+    let mut freshness = Freshness::default();
+    assert!(!freshness.within(1, BOUND), "nothing was read yet");
+    // The answer came late; what it says may be as old as the question.
+    freshness.note(1_000, 0);
+    assert!(freshness.within(5_999, BOUND));
+    assert!(!freshness.within(6_000, BOUND));
+}
+
+#[test]
+fn older_peers_change_nothing() {
+    let mut freshness = Freshness::default();
+    freshness.note(10_000, 0);
+    freshness.note(12_000, 4_000);
+    assert_eq!(freshness.age(12_000), Some(2_000));
+    freshness.note(12_000, 100);
+    assert_eq!(freshness.age(12_000), Some(100));
+    freshness.note(50, 100);
+    assert_eq!(freshness.age(12_000), Some(100), "older than the clock itself");
+}
+
+/// Two instances pass readings on to each other in any order, with any pauses between asking and
+/// noting. Neither ever believes a reading to be younger than it is.
+#[test]
+fn never_younger() {
+    bolero::check!().with_type::<Vec<(bool, bool, u16, u16)>>().for_each(|steps| {
+        // Each instance has a clock of its own, which differs by a constant.
+        let offset = [0u64, 77_777];
+        let mut known = [Freshness::default(); 2];
+        let mut newest = None;
+        let mut now = 100_000u64;
+        for (second, from_service, before, after) in steps {
+            let at = usize::from(*second);
+            let asked = now;
+            now += u64::from(*before);
+            let age = if *from_service {
+                newest = Some(now);
+                Some(0)
+            } else {
+                known[1 - at].age(now + offset[1 - at])
+            };
+            now += u64::from(*after);
+            if let Some(age) = age {
+                known[at].note(asked + offset[at], age);
+            }
+            for (i, freshness) in known.iter().enumerate() {
+                let truth = newest.map(|t| now - t);
+                let age = freshness.age(now + offset[i]);
+                assert!(age.is_none() || age >= truth, "believed {age:?}, is {truth:?}");
+            }
+        }
+    });
+}
--- /dev/null
+++ b/agateroute_core/tests/retries.rs
@@ -0,0 +1,54 @@
+//! The budget of retries: a share of the requests and a part of the slack for each instance.
+
+use agateroute_core::retry::{Allowance, Budget};
+
+const TARGET: u64 = 7;
+
+fn allowance(instances: u32) -> Allowance {
+    Allowance { percent: 20, slack: 58, instances, window_ms: 10_000 }
+}
+
+#[test]
+fn slack_divided() {
+    let mut budget = Budget::default();
+    let spent = (0..100).filter(|_| budget.spend(TARGET, 5, allowance(4))).count();
+    assert_eq!(spent, 14, "58 over 4 instances");
+    assert!(budget.spend(TARGET + 1, 5, allowance(4)), "another target has its own budget");
+}
+
+#[test]
+fn window_slides() {
+    let mut budget = Budget::default();
+    while budget.spend(TARGET, 500, allowance(1)) {}
+    assert!(!budget.spend(TARGET, 10_400, allowance(1)), "a whole window has not passed");
+    assert!(budget.spend(TARGET, 11_500, allowance(1)), "the retries are older than a window");
+}
+
+/// Whatever the order of arrivals and retries over several instances, no window of the declared length
+/// holds more retries than the share of the requests in it or the one before, and the slack.
+#[test]
+fn sum_bounded() {
+    bolero::check!().with_type::<Vec<(u8, bool, u8)>>().for_each(|steps| {
+        let instances = 4;
+        let mut budgets = vec![Budget::default(); instances];
+        let mut now = 0;
+        let (mut arrivals, mut retries) = (Vec::new(), Vec::new());
+        for (at, arrives, pause) in steps {
+            now += u64::from(*pause) * 8;
+            let budget = &mut budgets[usize::from(*at) % instances];
+            if *arrives {
+                budget.earn(TARGET, now, allowance(instances as u32));
+                arrivals.push(now);
+            } else if budget.spend(TARGET, now, allowance(instances as u32)) {
+                retries.push(now);
+            }
+        }
+        for from in &retries {
+            let within = |t: &&u64| **t >= *from && **t < from + 10_000;
+            let spent = retries.iter().filter(within).count() as f64;
+            let lately = |t: &&u64| **t + 10_000 >= *from && **t < from + 10_000;
+            let asked = arrivals.iter().filter(lately).count() as f64;
+            assert!(spent <= 0.2 * asked + 58.0, "{spent} retries for {asked} requests");
+        }
+    });
+}
--- /dev/null
+++ b/agateroute_core/tests/roster.rs
@@ -0,0 +1,73 @@
+//! The list of backend servers while the table service is well, away and back.
+
+use agateroute_core::roster::{Change, Listing, Roster};
+
+fn listing(name: &str, ready: bool) -> Listing {
+    Listing {
+        name: name.to_owned(),
+        service: "orders".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "a".to_owned(),
+        slots: 6,
+        ready,
+        born: 1,
+    }
+}
+
+fn ready(roster: &Roster) -> Vec<&str> {
+    roster.ready().map(|l| l.name.as_str()).collect()
+}
+
+fn two_servers() -> Roster {
+    let mut roster = Roster::default();
+    let rows = ["s-1", "s-2"].map(|n| (n.to_owned(), 5, Some(listing(n, true))));
+    assert_eq!(roster.set_all(0, 9, rows.into()), Change::Servers);
+    roster
+}
+
+#[test]
+fn gone_on_calm_days() {
+    let mut roster = two_servers();
+    assert_eq!(roster.set(10, "s-1", 10, Some(listing("s-1", true))), Change::None, "a heartbeat");
+    assert_eq!(roster.set(20, "s-1", 11, Some(listing("s-1", false))), Change::Servers);
+    assert_eq!(ready(&roster), ["s-2"], "one that leaves takes no new work");
+    assert_eq!(roster.set(30, "s-2", 12, None), Change::Servers);
+    assert!(ready(&roster).is_empty());
+}
+
+#[test]
+fn old_rows_ignored() {
+    let mut roster = two_servers();
+    roster.set(10, "s-1", 20, Some(listing("s-1", false)));
+    assert_eq!(roster.set(20, "s-1", 19, Some(listing("s-1", true))), Change::None);
+    assert_eq!(ready(&roster), ["s-2"]);
+    // A whole read that is older than a row says nothing about it.
+    roster.set(30, "s-3", 40, Some(listing("s-3", true)));
+    roster.set_all(40, 30, vec![("s-2".to_owned(), 5, Some(listing("s-2", true)))]);
+    assert_eq!(ready(&roster), ["s-2", "s-3"]);
+}
+
+#[test]
+fn lapsed_in_outage() {
+    let mut roster = two_servers();
+    roster.service_failed(1_000);
+    assert_eq!(roster.set(9_000, "s-1", 30, None), Change::None, "the service itself was away");
+    assert_eq!(roster.expire(60_000), Change::None, "nothing is gone while it is away");
+    roster.service_answered(60_000);
+    roster.set_all(60_000, 31, Vec::new());
+    assert_eq!(ready(&roster), ["s-1", "s-2"]);
+    roster.set(61_000, "s-2", 35, Some(listing("s-2", true)));
+    assert_eq!(roster.expire(61_700), Change::None);
+    assert_eq!(roster.expire(61_800), Change::Servers, "it had about two seconds to return");
+    assert_eq!(ready(&roster), ["s-2"]);
+    assert_eq!(roster.set(64_100, "s-2", 50, None), Change::Servers, "the outage is over");
+}
+
+#[test]
+fn draining_is_no_lapse() {
+    let mut roster = two_servers();
+    roster.service_failed(1_000);
+    roster.set(1_100, "s-1", 30, Some(listing("s-1", false)));
+    assert_eq!(roster.set(1_200, "s-1", 31, None), Change::Servers);
+    assert_eq!(ready(&roster), ["s-2"]);
+}
--- a/agateroute_core/tests/scenarios.rs
+++ b/agateroute_core/tests/scenarios.rs
@@ -41,9 +41,12 @@
         let prompt = args.take_key("prompt").map(str::parse).transpose()?;
         let fingerprint = args.take_key("fingerprint").map(str::parse).transpose()?;
         let prefix = args.take_key("prefix").map(str::parse).transpose()?;
+        let movable = args.take_key("movable").is_some();
+        let hint = args.take_key("hint").unwrap_or("0").parse()?;
         while let Some(request) = args.next_pos() {
             let mut ticket = self.world.ticket(request.parse()?, organisation, kind);
             ticket.most = most;
+            (ticket.movable, ticket.hint) = (movable, hint);
             ticket.prompt = prompt.unwrap_or(ticket.prompt);
             ticket.fingerprint = fingerprint.unwrap_or(ticket.fingerprint);
             ticket.prefix = prefix.unwrap_or(0);
@@ -95,6 +98,15 @@
         Ok(self.world.take_log())
     }
 
+    /// Ends the last move that an instance was told to make.
+    fn moved(&mut self, command: &Command, moved: bool) -> Outcome {
+        let mut args = command.consume_args();
+        let at = self.world.at(args.take_key("on").unwrap_or("a"));
+        let ended = self.world.end_move(at, moved);
+        ended.ok_or("no move is being made")?;
+        Ok(self.world.take_log())
+    }
+
     fn report(&mut self, command: &Command) -> Outcome {
         let mut args = command.consume_args();
         let mut number = |key: &str| -> Result<u64, Box<dyn Error>> {
@@ -213,6 +225,9 @@
             "claim" => return self.claim(command),
             "table" => return self.table(command),
             "desks" => return Ok(self.desks()),
+            "leaving" => self.world.server_leaving(&first),
+            "moved" => return self.moved(command, true),
+            "stays" => return self.moved(command, false),
             "pass" => self.world.pass(first.parse()?),
             "kill" => self.world.kill(self.world.at(&first)),
             "replace" => self.world.replace(self.world.at(&first)),
@@ -259,6 +274,7 @@
     killed_owner
     leaving_server
     lost_claims
+    moving_away
     replaced_instance
     spent_retries
     split_view
--- a/agateroute_core/tests/world/mod.rs
+++ b/agateroute_core/tests/world/mod.rs
@@ -312,6 +312,29 @@
         self.apply(at, Event::Ended { request, end });
     }
 
+    /// All instances hear that a server leaves.
+    pub fn server_leaving(&mut self, server: &str) {
+        for at in 0..self.instances.len() {
+            self.apply(at, Event::ServerLeaving { server: id(server) });
+        }
+    }
+
+    /// Ends the last move that an instance was told to make: the generation goes on at the destination,
+    /// or stays where it is.
+    pub fn end_move(&mut self, at: usize, moved: bool) -> Option<()> {
+        let (request, permit) = self.instances[at].moving.take()?;
+        if moved {
+            let instance = &mut self.instances[at];
+            if let Some(server) = instance.running.remove(&request) {
+                instance.running.insert(permit, server);
+                instance.open.retain(|r| *r != request);
+                instance.open.push(permit);
+            }
+        }
+        self.apply(at, Event::MoveEnded { request, permit, moved });
+        Some(())
+    }
+
     /// The caller of a request goes away.
     pub fn abandon(&mut self, at: usize, request: RequestId) {
         self.instances[at].running.remove(&request);
