--- a/agaterouted/src/passage.rs
+++ b/agaterouted/src/passage.rs
@@ -192,10 +192,9 @@
                 answer = wait(&mut copying), if copying.is_some() => {
                     copying = None;
                     if let Some(copy) = made.take() {
-                        (made, copying) = self.next_copy(copy, answer);
-                        if copying.is_none() && made.is_some() {
-                            stopped = Some(Instant::now());
-                        }
+                        let has_stopped;
+                        (made, copying, has_stopped) = self.next_copy(copy, answer);
+                        stopped = has_stopped.then(Instant::now);
                     }
                 }
                 admission = self.passage.permit.admission(), if made.is_none() => {
@@ -245,27 +244,35 @@
         }
     }
 
-    /// What follows an answer to a copy: the last copy, the end of the copies, or nothing.
-    fn next_copy(&mut self, copy: Copy, answer: CopyAnswer) -> (Option<Copy>, Option<Copying>) {
+    /// What follows an answer to a copy: the copy, the next copying, and whether the generation has
+    /// stopped for certain.
+    fn next_copy(
+        &mut self,
+        copy: Copy,
+        answer: CopyAnswer,
+    ) -> (Option<Copy>, Option<Copying>, bool) {
         match answer {
             CopyAnswer::Copied { handle } if copy.stops => {
-                (Some(Copy { handle: Some(handle), ..copy }), None)
+                (Some(Copy { handle: Some(handle), ..copy }), None, true)
             }
             CopyAnswer::Copied { handle } => {
                 let copying = self.copy_to(&copy.to, true);
                 self.passage.permit.move_copied();
-                (Some(Copy { handle: Some(handle), stops: true, ..copy }), Some(copying))
+                let copy = Copy { handle: Some(handle), stops: true, ..copy };
+                (Some(copy), Some(copying), false)
             }
             CopyAnswer::NoRoom { handle: Some(handle) } if copy.stops => {
                 // It has stopped, and its memory is still where it was.
                 let to = self.passage.server.clone();
                 self.move_ended(&copy, false);
-                (Some(Copy { permit: None, to, handle: Some(handle), stops: true }), None)
+                let copy = Copy { permit: None, to, handle: Some(handle), stops: true };
+                (Some(copy), None, true)
             }
-            _ if copy.stops => (Some(copy), None),
+            // Whether it has stopped is not known. If its stream ends, the first copy is used.
+            _ if copy.stops => (Some(copy), None, false),
             _ => {
                 self.move_ended(&copy, false);
-                (None, None)
+                (None, None, false)
             }
         }
     }
