Order moves by worth for their copy time, read the store less often

Change: the most lost for each part of the copy time goes first; other zones only when much less busy; the document is read each second and at once when a peer tells of a newer version.

--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -23,7 +23,7 @@
 const DRAWS: usize = 12;
 /// How much busier a server of the same availability zone may be for a move, in thousandths: a copy
 /// between zones takes twice as long.
-const FAR_PRESSURE: u32 = 300;
+const FAR_PRESSURE: u32 = 600;
 /// How much busier than the mean the server with the cached prefix may be, in thousandths.
 const PREFIX_SLACK: u32 = 250;
 /// The tokens after which progress is reported to the owner.
--- a/agateroute_core/src/migration.rs
+++ b/agateroute_core/src/migration.rs
@@ -38,6 +38,8 @@
 const HINT_FACTOR: u32 = 2;
 /// How long news that a server leaves outweigh a document that still declares it, in milliseconds.
 const RETURN_MS: Millis = 3_000;
+/// How much more a token of output counts than one of a prompt: it takes a step of its own.
+const OUTPUT_WEIGHT: u64 = 10;
 /// How long a server counts as leaving after it was last said to, in milliseconds.
 const LEAVING_MS: Millis = 60_000;
 
@@ -97,9 +99,12 @@
     }
 }
 
-/// What is lost if a generation is cut: what was read for it and what it may produce.
-fn worth(ticket: &Ticket) -> u32 {
-    ticket.prompt.saturating_add(ticket.most.saturating_mul(10))
+/// What is lost if a generation is cut, for each part of the time that its copy takes: what was read for
+/// it and what it may produce, against what it holds in memory. In thousandths.
+fn worth(ticket: &Ticket, tokens: u32) -> u32 {
+    let lost = u64::from(ticket.prompt) + u64::from(ticket.most) * OUTPUT_WEIGHT;
+    let held = u64::from(ticket.prompt) + u64::from(tokens);
+    (lost * 1_000 / held.max(1)).min(u64::from(u32::MAX)) as u32
 }
 
 /// Whether a generation will probably end before its server is gone.
@@ -117,7 +122,7 @@
         self.migration.leaving.insert(server, self.now);
         let running = self.entry.running.iter().filter(|(_, r)| r.server == server);
         let mut here: Vec<(u32, RequestId)> =
-            running.map(|(request, r)| (worth(&r.ticket), *request)).collect();
+            running.map(|(request, r)| (worth(&r.ticket, r.tokens), *request)).collect();
         here.sort_unstable_by(|a, b| b.cmp(a));
         for (_, request) in here {
             self.move_begun(request);
@@ -140,7 +145,7 @@
 
     fn ask_turn(&mut self, request: RequestId, server: Id, former: Option<Move>) {
         let Some(running) = self.entry.running.get(&request) else { return };
-        let worth = worth(&running.ticket);
+        let worth = worth(&running.ticket, running.tokens);
         let stage = Stage::Turn(self.now);
         let (tries, failed) = former.map_or((0, None), |m| (m.tries, m.failed));
         self.migration.moves.insert(request, Move { server, stage, tries, failed });
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -27,12 +27,14 @@
 use crate::routed::Routed;
 use crate::shell::Shell;
 
-/// How often the document is read. A version has to be in force within two seconds.
-const DOCUMENT_PAUSE: Duration = Duration::from_millis(600);
+/// How often the document is read, beside when a peer tells of a newer version. A version has to be in
+/// force within two seconds.
+const DOCUMENT_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a read may take before it is tried again on another connection.
 const READ_TIME: Duration = Duration::from_millis(700);
-/// How often the backend servers are read whole by instances that do not follow their changes.
-const SERVERS_PAUSE: Duration = Duration::from_millis(700);
+/// How often the backend servers are read whole by instances that do not follow their changes. Peers tell
+/// of servers that leave; without them that has to be known within two seconds.
+const SERVERS_PAUSE: Duration = Duration::from_millis(1_100);
 /// How long a read of changes waits for one.
 const CHANGES_WAIT: Duration = Duration::from_millis(600);
 /// The pause between two reads of changes, in which changes gather.
@@ -219,8 +221,10 @@
                 retry_pause()
             }
         };
-        if pause(&cancel, time).await {
-            return;
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            () = routed.shell.version_seen.notified() => {}
+            () = tokio::time::sleep(time) => {}
         }
     }
 }
