--- a/agaterouted/src/front.rs
+++ b/agaterouted/src/front.rs
@@ -51,9 +51,10 @@
 /// Serves one request of a caller. Whatever happens, the caller gets an answer.
 pub async fn handle(shell: Arc<Shell>, request: WebRequest) -> Result<WebResponse, Infallible> {
     let id = request_id(request.headers());
+    let mut unread = has_body(request.headers());
     let parent = extract(request.headers());
     let context = shell.telemetry.span("caller", SpanKind::Server, &parent);
-    let answer = route(&shell, request, id.clone(), context.clone()).await;
+    let answer = route(&shell, request, id.clone(), context.clone(), &mut unread).await;
     let mut response = answer.unwrap_or_else(|e| {
         end_span(&context, e.code);
         spdlog::info!("request_refused", kv: {
@@ -67,12 +68,20 @@
     if let Ok(value) = HeaderValue::from_str(&id) {
         response.headers_mut().insert(REQUEST_HEADER, value);
     }
-    if shell.leaving() {
+    // The rest of a body that was not read would be taken for the next request, so the connection ends;
+    // the caller has to know that before it sends another one.
+    if unread || shell.leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
 }
 
+/// Whether a request has a body.
+fn has_body(headers: &HeaderMap) -> bool {
+    let length = headers.get(header::CONTENT_LENGTH);
+    length.is_some_and(|l| l != "0") || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn request_id(headers: &HeaderMap) -> Arc<str> {
     let given = headers.get(REQUEST_HEADER).and_then(|v| v.to_str().ok());
     match given {
@@ -86,6 +95,7 @@
     request: WebRequest,
     id: Arc<str>,
     context: Context,
+    unread: &mut bool,
 ) -> Result<WebResponse, ApiError> {
     let (head, ext) = request.into_parts();
     let body = take_body(ext);
@@ -111,6 +121,7 @@
         "/v1/chat/completions" | "/v1/completions" => {
             check_method(method, &Method::POST)?;
             let body = read(&caller, body).await?;
+            *unread = false;
             let chat = path == "/v1/chat/completions";
             generation::serve(shell, caller, &head.headers, chat, body).await
         }
@@ -119,7 +130,7 @@
                 check_method(method, &Method::GET)?;
                 one_model(&caller, model)
             }
-            None => service(shell, caller, &head, body).await,
+            None => service(shell, caller, &head, body, unread).await,
         },
     }
 }
@@ -138,6 +149,7 @@
     caller: Caller,
     head: &http::request::Parts,
     body: RequestBody,
+    unread: &mut bool,
 ) -> Result<WebResponse, ApiError> {
     let path = head.uri.path();
     let Some(rest) = path.strip_prefix(SERVICES_PATH) else {
@@ -150,6 +162,7 @@
         None => below.to_owned(),
     };
     let body = read(&caller, body).await?;
+    *unread = false;
     let sent = Sent {
         method: &head.method,
         service,
--- a/agaterouted/src/routed.rs
+++ b/agaterouted/src/routed.rs
@@ -89,11 +89,15 @@
 }
 
 async fn serve(deployment: Deployment) -> Result<(), StartError> {
-    let settings = deployment.settings.clone();
+    let mut settings = deployment.settings.clone();
     let callers = bind(deployment.listeners.callers).await?;
     let ready = bind(deployment.listeners.ready).await?;
     let peer = bind(parse(&settings.peer)?).await?;
     let operators = bind(parse(&settings.ops)?).await?;
+    settings.listen = address(&callers)?;
+    settings.peer = address(&peer)?;
+    settings.ops = address(&operators)?;
+    let ready_address = address(&ready)?;
     let telemetry = Telemetry::start(&settings).map_err(fail("telemetry"))?;
     let (jobs, queued) = tokio::sync::mpsc::unbounded_channel();
     let client = Client::new(STORE_TIME);
@@ -128,6 +132,7 @@
         start = shell.me.start,
         zone: = shell.settings.zone.as_str(),
         listen: = shell.settings.listen.as_str(),
+        ready: = ready_address.as_str(),
         ops: = shell.settings.ops.as_str(),
         peer: = shell.settings.peer.as_str(),
         table: = routed.deployment.table.as_str(),
@@ -148,6 +153,11 @@
     TcpListener::bind(address).await.map_err(fail("bind"))
 }
 
+/// Where a listener really listens, also where the settings leave the port open.
+fn address(listener: &TcpListener) -> Result<String, StartError> {
+    listener.local_addr().map(|a| a.to_string()).map_err(fail("bind"))
+}
+
 fn ready_page(routed: &Routed, path: &str) -> Response<Full<bytes::Bytes>> {
     if path != routed.deployment.listeners.ready_path {
         return gate::page(StatusCode::NOT_FOUND, "this path does not exist\n");
--- a/agaterouted/tests/front.rs
+++ b/agaterouted/tests/front.rs
@@ -215,6 +215,8 @@
     let long = "x".repeat(2_001);
     let answer = caller.call("POST", "/v1/services/orders/stock", &[], long.clone()).await;
     assert_eq!((answer.status.as_u16(), answer.outcome()), (413, "not_run"));
+    // What is left of the body ends the connection, so the caller must not use it again.
+    assert_eq!(answer.headers["connection"], "close");
     let answer = caller.call("GET", "/v1/models", &[("x-long", &long)], "").await;
     assert_eq!((answer.status.as_u16(), answer.outcome()), (431, "not_run"));
     let names: Vec<String> = (0..21).map(|i| format!("x-{i}")).collect();
