Give the turn after the last copy, copy one generation into a server at a time, use callers' guesses

Ruled out: the time to go on at the destination (30 ms). Change: the turn goes on when the last copy is made, on the same connection; a destination takes one copy at a time; until 40 generations of a kind have ended the guess of the caller says how long it runs.

--- a/agateroute_core/src/admission.rs
+++ b/agateroute_core/src/admission.rs
@@ -8,6 +8,8 @@
 use crate::id::Id;
 use crate::memory::{self, Load};
 
+/// The samples of a class from which on it is known better than its callers guess.
+const KNOWN_SAMPLES: f32 = 40.0;
 /// How far above its even part of the queue an organisation may be before it counts as asking for more
 /// than it is owed.
 const OVER_SHARE_FACTOR: f64 = 2.0;
@@ -40,6 +42,10 @@
     if waiting.ask.alone || desk.running.iter().any(|h| h.alone) {
         return false;
     }
+    // Copies to one server would queue on its link, and the generations pause for it.
+    if waiting.ask.moving && desk.running.iter().any(|h| h.moving) {
+        return false;
+    }
     let part = match desk.cautious(around.now) {
         true => f64::from(around.catalog.routing().fallback_percent) / 100.0,
         false => 1.0,
@@ -64,19 +70,28 @@
         prompt: own_prompt(desk, held.prompt, held.prefix, ask, &desk.running[..i]),
         done: held.tokens as f32,
         most: most_tokens(held.most),
-        curve: around.estimator.curve(held.class).unwrap_or(&prior),
+        curve: curve(around.estimator, held.class, held.hint).unwrap_or(&prior),
     });
     let class = Class { model: ask.target, kind: ask.kind, organisation: ask.organisation };
     let added = Load {
         prompt: own_prompt(desk, ask.prompt, ask.prefix, ask, &desk.running),
         done: 0.0,
         most: most_tokens(ask.most),
-        curve: around.estimator.curve(class).unwrap_or(&prior),
+        curve: curve(around.estimator, class, ask.hint).unwrap_or(&prior),
     };
     let peak = memory::peak(running.chain([added]), desk.deviations);
     f64::from(peak) + desk.foreign(around.now) as f64 <= memory
 }
 
+/// How long a generation runs. Until enough of its class have ended, the guess of its caller counts: the
+/// first that end are the short ones.
+fn curve(estimator: &Estimator, class: Class, hint: u32) -> Option<&Curve> {
+    if hint > 0 && estimator.samples(class) < KNOWN_SAMPLES {
+        return Some(Curve::around(hint));
+    }
+    estimator.curve(class)
+}
+
 /// The tokens of a prompt that are not held by one of `before` already. A prefix counts once when the
 /// engine says that it is cached. All prefixes are of the same length.
 fn own_prompt(desk: &Desk, prompt: u32, prefix: u64, ask: &Ask, before: &[Held]) -> f32 {
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -81,6 +81,10 @@
         pub most: u32,
         /// The hash of the start of its prompt, 0 where it is not known.
         pub prefix: u64,
+        /// The caller's guess at the length of the output, 0 where there is none.
+        pub hint: u32,
+        /// Whether its memory is still being copied here.
+        pub moving: bool,
         /// What was charged for it so far.
         pub charged: f64,
         /// Whether it has to run alone.
@@ -308,6 +312,7 @@
         if let Ok(at) = self.held_at(peer, request) {
             let held = &mut self.running[at];
             held.tokens = held.tokens.max(tokens);
+            held.moving = false;
         }
     }
 
@@ -329,6 +334,8 @@
                     tokens: hold.tokens,
                     most: 0,
                     prefix: 0,
+                    hint: 0,
+                    moving: false,
                     charged: f64::from(hold.prompt),
                     alone: false,
                 };
@@ -524,7 +531,7 @@
         let share = |part: usize, whole: usize| (1000 * part / whole.max(1)) as u32;
         let used = match self.capacity {
             Capacity::Engine { memory, batch } => {
-                let unread = self.running.iter().filter(|h| h.tokens == 0);
+                let unread = self.running.iter().filter(|h| h.tokens == 0 && !h.moving);
                 let unread: u32 = unread.map(|h| h.prompt).sum();
                 let filled = share(self.account() as usize, memory as usize);
                 filled.max(share(self.running.len(), batch as usize))
@@ -586,6 +593,8 @@
             tokens: 0,
             most: ask.most,
             prefix: ask.prefix,
+            hint: ask.hint,
+            moving: ask.moving,
             charged,
             alone: ask.alone,
         };
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -169,6 +169,8 @@
             alone: pending.alone,
             prefix: ticket.prefix,
             shared: ticket.shared,
+            hint: ticket.hint,
+            moving: pending.moves.is_some(),
         };
         let step = match self.catalog.servers.get(&server).map(|s| s.capacity) {
             Some(Capacity::Engine { batch, .. }) => 1000 / batch.max(1),
--- a/agateroute_core/src/estimate.rs
+++ b/agateroute_core/src/estimate.rs
@@ -4,6 +4,8 @@
 //! samples, it shrinks towards (model, kind) and then the model. See `docs/DESIGN.md`, "Unknown
 //! lengths".
 
+use std::sync::LazyLock;
+
 use crate::Table;
 use crate::id::Id;
 
@@ -23,6 +25,8 @@
 const PRIOR_MEDIAN: f32 = 8.0;
 /// The deviation of the prior, in octaves.
 const PRIOR_DEVIATION: f32 = 2.0;
+/// The deviation of lengths from what callers guess, in octaves.
+const GUESS_DEVIATION: f32 = 1.5;
 
 value! {
     /// What generations are grouped by. Zero stands for all organisations or all kinds.
@@ -72,6 +76,24 @@
         Curve::from_counts(&counts)
     }
 
+    /// The curve around a caller's guess: right at the median, and often far off.
+    pub fn around(guess: u32) -> &'static Curve {
+        static CURVES: LazyLock<Vec<Curve>> = LazyLock::new(|| {
+            (0..BUCKETS).map(|at| Curve::centred((at as f32 + 0.5) / BUCKETS_PER_OCTAVE)).collect()
+        });
+        &CURVES[bucket_position(guess as f32) as usize]
+    }
+
+    fn centred(median: f32) -> Curve {
+        let mut counts = [0.0; BUCKETS];
+        for (i, count) in counts.iter_mut().enumerate() {
+            let octave = (i as f32 + 0.5) / BUCKETS_PER_OCTAVE;
+            let z = (octave - median) / GUESS_DEVIATION;
+            *count = (-0.5 * z * z).exp();
+        }
+        Curve::from_counts(&counts)
+    }
+
     fn from_counts(counts: &[f32; BUCKETS]) -> Curve {
         let total: f32 = counts.iter().sum();
         let mut survival = [0.0; BUCKETS + 1];
@@ -164,6 +186,11 @@
         [class, kind, whole].iter().find_map(|c| self.classes.get(c)).map(|h| &h.curve)
     }
 
+    /// How many generations of a kind have ended, the older ones counted less.
+    pub fn samples(&self, class: Class) -> f32 {
+        self.classes.get(&Class { organisation: 0, ..class }).map_or(0.0, |h| h.total)
+    }
+
     /// The number of classes that are kept.
     pub fn classes(&self) -> usize {
         self.classes.len()
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -157,7 +157,7 @@
             /// How.
             end: End,
         },
-        /// Most of the memory of a generation that moves was copied, and the rest was ordered.
+        /// All of the memory of a generation that moves was copied.
         MoveCopied {
             /// The request.
             request: RequestId,
--- a/agateroute_core/src/migration.rs
+++ b/agateroute_core/src/migration.rs
@@ -7,7 +7,7 @@
 //! destination and makes the copy. See `docs/DESIGN.md`, "Live migration".
 
 use agateroute_proto::peers::message::Body;
-use agateroute_proto::peers::{Turn, TurnAsk, TurnDone};
+use agateroute_proto::peers::{Progress, Turn, TurnAsk, TurnDone};
 
 use crate::Table;
 use crate::effect::Effect;
@@ -232,7 +232,7 @@
         self.give_turn_back(request, server);
     }
 
-    /// Most of a copy is made and the rest is ordered, so the next one can begin behind it.
+    /// A copy is made, so the next one can begin while this generation goes on elsewhere.
     pub(crate) fn move_copied(&mut self, request: RequestId) {
         if let Some(moving) = self.migration.moves.get(&request) {
             self.give_turn_back(request, moving.server);
@@ -278,9 +278,13 @@
             let ticket = Ticket { request: permit, ..former.ticket };
             running.ticket = ticket;
             running.tokens = former.tokens;
-            running.reported = 0;
+            running.reported = former.tokens;
             running.begun = former.begun;
             running.attempts = former.attempts;
+            // The owner of the destination learns that the copy is over.
+            let (owner, server, tokens) = (running.owner, running.server, running.tokens.max(1));
+            let progress = Progress { request: permit, server, tokens };
+            self.send(owner, Body::Progress(progress));
         }
         self.move_begun(permit);
     }
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -108,6 +108,12 @@
     /// The tokens of that start.
     #[prost(uint32, tag = "12")]
     pub shared: u32,
+    /// The caller's guess at the length of the output, in tokens; 0 where there is none.
+    #[prost(uint32, tag = "13")]
+    pub hint: u32,
+    /// Whether it is a generation that moves here with its memory.
+    #[prost(bool, tag = "14")]
+    pub moving: bool,
 }
 /// Permits the start of a request.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/agaterouted/src/copying.rs
+++ b/agaterouted/src/copying.rs
@@ -28,10 +28,11 @@
     let order = CopyOrder { request: &call.id, to: &to, last };
     let request = (routed.deployment.servers.copy)(&order);
     let exchange = async {
-        let (response, connection) = routed.upstream.send(&from, request, false).await.ok()?;
+        let (response, connection) = routed.upstream.send(&from, request, true).await.ok()?;
         let status = response.status();
         let body = Limited::new(response.into_body(), ANSWER_MOST).collect().await.ok()?;
-        drop(connection);
+        // The last copy follows on the same connection, without the time of another one.
+        routed.upstream.keep(connection, None);
         Some((routed.deployment.servers.read_copy)(status, &body.to_bytes()))
     };
     let answer = match tokio::time::timeout(COPY_TIME, exchange).await {
--- a/agaterouted/src/passage.rs
+++ b/agaterouted/src/passage.rs
@@ -253,11 +253,11 @@
     ) -> (Option<Copy>, Option<Copying>, bool) {
         match answer {
             CopyAnswer::Copied { handle } if copy.stops => {
+                self.passage.permit.move_copied();
                 (Some(Copy { handle: Some(handle), ..copy }), None, true)
             }
             CopyAnswer::Copied { handle } => {
                 let copying = self.copy_to(&copy.to, true);
-                self.passage.permit.move_copied();
                 let copy = Copy { handle: Some(handle), stops: true, ..copy };
                 (Some(copy), Some(copying), false)
             }
--- a/agaterouted/src/shell.rs
+++ b/agaterouted/src/shell.rs
@@ -491,7 +491,7 @@
         }
     }
 
-    /// Notes that most of the memory is copied and the rest is ordered.
+    /// Notes that all of the memory is copied.
     pub fn move_copied(&mut self) {
         self.shell.apply(Event::MoveCopied { request: self.request });
     }
--- a/agaterouted/tests/routed.rs
+++ b/agaterouted/tests/routed.rs
@@ -53,7 +53,7 @@
 async fn platform(ledgers: usize, writers: usize, events: u64) -> Platform {
     let cancel = CancellationToken::new();
     let store = Store::start(cancel.clone()).await;
-    store.write("op", "config", &standin::document(1));
+    standin::publish(&store, 1, true);
     let mut all = Platform { store, ledgers: Vec::new(), writers: Vec::new(), cancel };
     for i in 0..ledgers {
         let name = format!("ledger-{i}");
@@ -186,7 +186,7 @@
     let instance = platform.instance(5_000).await;
     let answer = instance.call("POST", "/order/1?x=2", "yew-key", "a wire").await;
     assert_eq!((answer.status, &answer.body[..]), (StatusCode::OK, &b"whole answer"[..]));
-    assert_eq!(answer.text("x-response-signature"), "ledger-0", "fields of the server are kept");
+    assert_eq!(answer.text(standin::SIGNATURE), "ledger-0", "fields of the server are kept");
     let run = platform.ledgers[0].runs().remove(0);
     assert_eq!((run.path.as_str(), &run.body[..]), ("/order/1", &b"a wire"[..]));
     assert_eq!(run.headers[standin::ORGANISATION], "yew");
@@ -226,10 +226,7 @@
     platform.ledgers[0].behave(Behaviour::Sheds);
     for _ in 0..6 {
         let answer = instance.call("POST", "/order/", "yew-key", "").await;
-        assert_eq!(
-            (answer.status, answer.text("x-response-signature")),
-            (StatusCode::OK, "ledger-1")
-        );
+        assert_eq!((answer.status, answer.text(standin::SIGNATURE)), (StatusCode::OK, "ledger-1"));
     }
     platform.ledgers[1].behave(Behaviour::Sheds);
     let answer = instance.call("POST", "/order/", "yew-key", "").await;
@@ -336,15 +333,13 @@
 async fn withdrawn_keys() {
     let platform = platform(1, 0, 0).await;
     let instance = platform.instance(1_500).await;
-    let mut document = standin::document(2);
-    document["Tenants"][0]["ApiKeys"] = serde_json::json!([]);
-    platform.store.write("op", "config", &document);
+    standin::publish(&platform.store, 2, false);
     eventually("the key is refused", async || {
         instance.call("POST", "/order/", "yew-key", "").await.status == StatusCode::UNAUTHORIZED
     })
     .await;
     // An older version never comes back.
-    platform.store.write("op", "config", &standin::document(1));
+    standin::publish(&platform.store, 1, true);
     assert_eq!(instance.call("POST", "/order/", "box-key", "").await.status, StatusCode::OK);
     let reads = platform.store.reads();
     eventually("it was read", async || platform.store.reads() > reads + 4).await;
@@ -391,7 +386,7 @@
     platform.store.forget();
     let by_other = async || {
         let answer = instance.call("POST", "/order/", "yew-key", "").await;
-        answer.text("x-response-signature") == "ledger-1"
+        answer.text(standin::SIGNATURE) == "ledger-1"
     };
     let mut in_a_row = 0;
     eventually("it takes no new work", async || {
@@ -399,7 +394,7 @@
         in_a_row >= 20
     })
     .await;
-    platform.store.remove("servers", "ledger-1");
+    standin::unlist(&platform.store, "ledger-1");
     eventually("none is left", async || {
         let answer = instance.call("POST", "/order/", "yew-key", "").await;
         answer.status == StatusCode::SERVICE_UNAVAILABLE
