Bound what an engine has to read, and let the shorter target go first while it can be met

Change: an engine is given about a second of prompts to read, the rest waits for a permit where it can still go elsewhere; among those that wait the ones that can meet their target go first, the shorter target before the longer.

--- a/agateroute_config/src/routing.rs
+++ b/agateroute_config/src/routing.rs
@@ -51,6 +51,9 @@
         /// number of standard deviations kept free.
         #[schemars(range(min = 0.0, max = 8.0))]
         pub deviations: f64,
+        /// The prompts that one engine is given to read at a time, in tokens; 0 for no bound. What is
+        /// beyond waits for a permit.
+        pub unread_tokens: u32,
         /// How long an instance that was told to stop keeps serving new requests, in milliseconds.
         pub notice_ms: u64,
         /// How often tallies are written to the table service, in milliseconds.
@@ -87,6 +90,7 @@
             peer_ms: 2_000,
             fallback_percent: 25,
             deviations: 2.0,
+            unread_tokens: 0,
             notice_ms: 2_000,
             tally_ms: 10_000,
             record_hours: 48,
--- a/agateroute_core/src/admission.rs
+++ b/agateroute_core/src/admission.rs
@@ -21,19 +21,34 @@
     ranks.dedup();
     let floor = |rank: u8| around.catalog.ranks.get(usize::from(rank)).map_or(0.0, |r| r.floor);
     let rank = desk.counters.next_rank(&ranks, floor)?;
-    let mut best: Option<(usize, f64)> = None;
+    // What can still meet its target goes before what can not, the shorter target first, and then the
+    // organisation that was given least.
+    let place = |waiting: &Waiting| {
+        let missed = waiting.ask.target_ms > 0 && waiting.target <= around.now;
+        let counter = desk.counters.organisation(rank, waiting.ask.organisation);
+        (missed, waiting.ask.target_ms, counter)
+    };
+    let mut best: Option<(usize, (bool, u32, f64))> = None;
     for (i, waiting) in desk.waiting.iter().enumerate() {
         if waiting.ask.rank != u32::from(rank) {
             continue;
         }
-        let counter = desk.counters.organisation(rank, waiting.ask.organisation);
-        if best.is_none_or(|(_, least)| counter < least) {
-            best = Some((i, counter));
+        let place = place(waiting);
+        if best.is_none_or(|(_, least)| place < least) {
+            best = Some((i, place));
         }
     }
     best.map(|(i, _)| i)
 }
 
+/// Whether a prompt is read soon enough behind those that were permitted before it. What waits here can
+/// still go elsewhere, or behind something more urgent.
+fn read_soon(desk: &Desk, waiting: &Waiting, around: &Surroundings<'_>) -> bool {
+    let most = around.catalog.routing().unread_tokens;
+    let unread = desk.unread();
+    most == 0 || waiting.ask.moving || unread == 0 || unread + waiting.ask.prompt <= most
+}
+
 /// Whether a request can start now.
 pub fn room(desk: &Desk, waiting: &Waiting, around: &Surroundings<'_>) -> bool {
     if desk.running.is_empty() {
@@ -54,7 +69,9 @@
         Capacity::Engine { memory, batch } => {
             let batch = (f64::from(batch) * part).max(1.0) as usize;
             let running = desk.running.len() + desk.foreign_running(around.now);
-            running < batch && memory_room(desk, waiting, memory as f64 * part, around)
+            running < batch
+                && read_soon(desk, waiting, around)
+                && memory_room(desk, waiting, memory as f64 * part, around)
         }
         Capacity::Slots { .. } => {
             let allowed = (desk.limit.allowed() as f64 * part).max(1.0) as usize;
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -59,6 +59,8 @@
         pub ask: Ask,
         /// When its target can no longer be met, on the clock of the desk.
         pub deadline: Millis,
+        /// When the target of its route is missed, on the clock of the desk.
+        pub target: Millis,
         /// When it was queued.
         pub since: Millis,
     }
@@ -205,7 +207,8 @@
         }
         self.lift(&ask);
         let deadline = around.now + self.patience(&ask);
-        self.waiting.push(Waiting { peer, ask, deadline, since: around.now });
+        let target = around.now + u64::from(ask.target_left_ms);
+        self.waiting.push(Waiting { peer, ask, deadline, target, since: around.now });
         self.pump(around, out);
     }
 
@@ -531,17 +534,20 @@
         let share = |part: usize, whole: usize| (1000 * part / whole.max(1)) as u32;
         let used = match self.capacity {
             Capacity::Engine { memory, batch } => {
-                let unread = self.running.iter().filter(|h| h.tokens == 0 && !h.moving);
-                let unread: u32 = unread.map(|h| h.prompt).sum();
                 let filled = share(self.account() as usize, memory as usize);
                 filled.max(share(self.running.len(), batch as usize))
-                    + share(unread as usize * UNREAD_FACTOR, memory as usize)
+                    + share(self.unread() as usize * UNREAD_FACTOR, memory as usize)
             }
             Capacity::Slots { .. } => share(self.running.len(), self.limit.allowed()),
         };
         used + share(self.waiting.len(), 10)
     }
 
+    /// The prompts that were permitted and are not read yet, in tokens.
+    pub fn unread(&self) -> u32 {
+        self.running.iter().filter(|h| h.tokens == 0 && !h.moving).map(|h| h.prompt).sum()
+    }
+
     fn grant_message(&self, request: RequestId) -> Body {
         Body::Grant(Grant { request, server: self.server, pressure: self.pressure() })
     }
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -171,6 +171,8 @@
             shared: ticket.shared,
             hint: ticket.hint,
             moving: pending.moves.is_some(),
+            target_ms: ticket.target_ms,
+            target_left_ms: ticket.target_at.saturating_sub(now) as u32,
         };
         let step = match self.catalog.servers.get(&server).map(|s| s.capacity) {
             Some(Capacity::Engine { batch, .. }) => 1000 / batch.max(1),
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -40,6 +40,10 @@
         pub deadline: Millis,
         /// The most backend servers that may begin the request; 0 leaves it to the document.
         pub attempts: u32,
+        /// The target of its route, in milliseconds; 0 where there is none.
+        pub target_ms: u32,
+        /// When that target is missed.
+        pub target_at: Millis,
         /// The caller's guess at the length of the output, in tokens; 0 where there is none.
         pub hint: u32,
         /// Whether the generation can go on at another backend server with a copy of its memory.
--- a/agateroute_core/tests/world/mod.rs
+++ b/agateroute_core/tests/world/mod.rs
@@ -289,6 +289,8 @@
             deadline: self.now + promise.first_token_ms,
             attempts: 0,
             hint: 0,
+            target_ms: 0,
+            target_at: 0,
             movable: false,
         }
     }
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -114,6 +114,11 @@
     /// Whether it is a generation that moves here with its memory.
     #[prost(bool, tag = "14")]
     pub moving: bool,
+    /// The target of its route, in milliseconds, and how much of that is left; 0 where there is none.
+    #[prost(uint32, tag = "15")]
+    pub target_ms: u32,
+    #[prost(uint32, tag = "16")]
+    pub target_left_ms: u32,
 }
 /// Permits the start of a request.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -136,6 +136,8 @@
         deadline: shell.now() + document.ranks[rank].answer_ms,
         attempts: 0,
         hint: 0,
+        target_ms: 0,
+        target_at: 0,
         movable: false,
     }
 }
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -424,6 +424,8 @@
         deadline: shell.now() + document.ranks[declared.rank].first_token_ms,
         attempts: 0,
         hint: 0,
+        target_ms: 0,
+        target_at: 0,
         movable: false,
     }
 }
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -309,6 +309,8 @@
         shared: shared.iter().map(|p| p.tokens).sum(),
         fingerprint: mix(mix(organisation, id(path)), id_of_bytes(body)),
         deadline: routed.shell.now() + patience.as_millis() as u64,
+        target_ms: route.target_ms.min(u64::from(u32::MAX)) as u32,
+        target_at: routed.shell.now() + route.target_ms,
         hint: facts.length_hint.unwrap_or(0),
         movable: route.kind.streams() && routed.source.capacity(route).is_some_and(|c| c.moves),
         attempts: if route.kind.repeatable() { route.attempts } else { 1 },
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -64,6 +64,9 @@
 const PEER_MS: u64 = 1_000;
 /// How often a refused or failed request is tried on another backend server.
 const RETRIES: u32 = 3;
+/// The prompts that one engine is given to read at a time, in tokens: about a second of reading between
+/// the steps of what runs there.
+const UNREAD_TOKENS: u32 = 6_500;
 /// The crashes under a request after which it is refused. The third may be coincidence no more.
 const QUARANTINE_CRASHES: u32 = 3;
 
@@ -343,6 +346,7 @@
         fallback_percent: 100,
         quarantine_crashes: QUARANTINE_CRASHES,
         suspects_alone: false,
+        unread_tokens: UNREAD_TOKENS,
         ..Routing::default()
     };
     let servers = roster.ready().filter_map(server).collect();
