--- a/agateroute_core/src/roster.rs
+++ b/agateroute_core/src/roster.rs
@@ -151,6 +151,11 @@
         self.rows.values().map(|r| &r.listing).filter(|l| l.ready)
     }
 
+    /// The servers that take new work, with the revisions of their rows.
+    pub fn ready_with_revision(&self) -> impl Iterator<Item = (u64, &Listing)> {
+        self.rows.values().filter(|r| r.listing.ready).map(|r| (r.revision, &r.listing))
+    }
+
     /// The listing of a server, also of one that is leaving.
     pub fn listing(&self, name: &str) -> Option<&Listing> {
         self.rows.get(&name.to_owned()).map(|r| &r.listing)
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -262,11 +262,12 @@
 async fn ask_peers(routed: &Routed) {
     for address in routed.shell.peer_addresses() {
         let asked = boot_millis();
-        let version = routed.shell.in_force().version;
+        // Also a document of the version in force is of use, for the servers that come with it.
+        let version = routed.shell.in_force().version.saturating_sub(1);
         let Some(reply) = fetch_document(&address, version).await else { continue };
         if !reply.document.is_empty() {
             match serde_json::from_str::<PeerDocument>(&reply.document) {
-                Ok(held) => take_declared(routed, held.into_declared(reply.version)),
+                Ok(held) => take_held(routed, held, reply.version),
                 Err(error) => {
                     spdlog::error!("peer_document_not_read", kv: { peer: = address.as_str(), error: });
                     continue;
@@ -285,14 +286,75 @@
     }
 }
 
-/// A document as peers pass it on: without backend servers, which every instance lists itself.
+/// A document as peers pass it on, with the servers that they list.
 #[derive(Debug, Deserialize, Serialize)]
 struct PeerDocument {
     document: Document,
     capacities: Vec<(String, Option<u64>, u32, bool)>,
+    servers: Vec<PeerListing>,
+}
+
+/// A listed server as peers pass it on.
+#[derive(Debug, Deserialize, Serialize)]
+struct PeerListing {
+    revision: u64,
+    name: String,
+    service: String,
+    address: String,
+    zone: String,
+    slots: u32,
+    born: u64,
+}
+
+/// Takes over what a peer holds. Servers that it does not list may have been listed since.
+fn take_held(routed: &Routed, mut held: PeerDocument, version: u64) {
+    let servers = std::mem::take(&mut held.servers);
+    let now = boot_millis();
+    let mut change = Change::None;
+    let mut state = routed.source.lock();
+    for s in servers {
+        let (revision, name) = (s.revision, s.name.clone());
+        let listing = Listing {
+            name: s.name,
+            service: s.service,
+            address: s.address,
+            zone: s.zone,
+            slots: s.slots,
+            ready: true,
+            born: s.born,
+        };
+        change = change.max(state.roster.set(now, &name, revision, Some(listing)));
+        state.listed = true;
+    }
+    drop(state);
+    take_declared(routed, held.into_declared(version));
+    if change == Change::Servers {
+        bring_into_force(routed);
+    }
 }
 
 impl PeerDocument {
+    /// What this instance passes on.
+    fn new(declared: &Declared, roster: &Roster) -> PeerDocument {
+        let capacity = |(name, c): &(String, ServiceCapacity)| {
+            (name.clone(), c.memory_tokens, c.event_tokens, c.moves)
+        };
+        let listing = |(revision, l): (u64, &Listing)| PeerListing {
+            revision,
+            name: l.name.clone(),
+            service: l.service.clone(),
+            address: l.address.clone(),
+            zone: l.zone.clone(),
+            slots: l.slots,
+            born: l.born,
+        };
+        PeerDocument {
+            document: Document { servers: Vec::new(), ..declared.document.clone() },
+            capacities: declared.capacities.iter().map(capacity).collect(),
+            servers: roster.ready_with_revision().map(listing).collect(),
+        }
+    }
+
     fn into_declared(self, version: u64) -> Declared {
         let capacity = |(name, memory_tokens, event_tokens, moves)| {
             (name, ServiceCapacity { memory_tokens, event_tokens, moves })
@@ -308,25 +370,18 @@
     let state = routed.source.lock();
     let Some(declared) = state.declared.clone() else { return };
     let document = compose(&declared, &state.roster, &bounds);
+    let held = PeerDocument::new(&declared, &state.roster);
     let servers = document.servers.len();
     drop(state);
     if declared.version > routed.shell.in_force().version || !routed.shell.configured() {
         routed.shell.configure(declared.version, document);
-        let held = PeerDocument {
-            document: Document { servers: Vec::new(), ..declared.document.clone() },
-            capacities: declared
-                .capacities
-                .iter()
-                .map(|(n, c)| (n.clone(), c.memory_tokens, c.event_tokens, c.moves))
-                .collect(),
-        };
-        match serde_json::to_string(&held) {
-            Ok(text) => routed.shell.set_handout(text),
-            Err(error) => spdlog::error!("document_not_written", kv: { error: }),
-        }
     } else {
         routed.shell.set_servers(document);
     }
+    match serde_json::to_string(&held) {
+        Ok(text) => routed.shell.set_handout(text),
+        Err(error) => spdlog::error!("document_not_written", kv: { error: }),
+    }
     spdlog::info!("servers_in_force", kv: { version = declared.version, servers });
 }
 
