--- a/agaterouted/src/log.rs
+++ b/agaterouted/src/log.rs
@@ -1,13 +1,17 @@
 //! Structured logs: one line of key=value pairs for each event.
 
 use std::fmt::Write;
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::UNIX_EPOCH;
 
 use spdlog::formatter::{Formatter, FormatterContext};
 use spdlog::prelude::*;
-use spdlog::sink::StdStreamSink;
-use spdlog::{Record, StringBuf};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
+use spdlog::{Record, StringBuf, ThreadPool};
+
+/// The lines that wait to be written before further ones are dropped.
+const LINES_MOST: NonZeroUsize = NonZeroUsize::new(4_096).unwrap();
 
 /// Writes a record as `time=… level=… event=… key=value …`.
 #[derive(Clone)]
@@ -53,9 +57,16 @@
         "trace" => Level::Trace,
         _ => Level::Info,
     };
-    let sink = StdStreamSink::builder().stdout().formatter(KeyValueFormatter).build()?;
+    let stream = StdStreamSink::builder().stdout().formatter(KeyValueFormatter).build()?;
+    let threads = ThreadPool::builder().capacity(LINES_MOST).build_arc()?;
+    // Whoever reads the logs may be slow or stuck; requests never wait for that.
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(stream))
+        .thread_pool(threads)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()?;
     let logger = Logger::builder()
-        .sink(Arc::new(sink))
+        .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level))
         .flush_level_filter(LevelFilter::All)
         .build()?;
