Give permits when a prompt was read; take the pauses of reads from the platform's bounds

Cause: a desk gave the next permit only with the next tick, up to 25 ms after a prompt was read; the test of a burst (reading.rs) failed first.

--- a/agateroute_adapter/src/deployment.rs
+++ b/agateroute_adapter/src/deployment.rs
@@ -79,6 +79,8 @@
     pub revoke_ms: u64,
     /// How long a document may take to be in force, in milliseconds.
     pub configure_ms: u64,
+    /// How long after it is listed as leaving a backend server may still get work, in milliseconds.
+    pub drain_ms: u64,
     /// How long an instance may take to stop, in milliseconds.
     pub grace_ms: u64,
     /// The retries in percent of the requests.
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -4,7 +4,7 @@
 //! See `docs/DESIGN.md`, "Admission across instances".
 
 use agateroute_proto::peers::message::Body;
-use agateroute_proto::peers::{Ask, Deny, DenyReason, Grant, Hold, Load, Release};
+use agateroute_proto::peers::{Ask, Deny, DenyReason, Grant, Hold, Load, Progress, Release};
 
 use crate::Table;
 use crate::admission;
@@ -310,12 +310,22 @@
         }
     }
 
-    /// Notes the tokens that a running request has generated.
-    pub fn progress(&mut self, peer: Id, request: RequestId, tokens: u32) {
-        if let Ok(at) = self.held_at(peer, request) {
-            let held = &mut self.running[at];
-            held.tokens = held.tokens.max(tokens);
-            held.moving = false;
+    /// Notes the tokens that a running request has generated. The first ones tell that its prompt was read
+    /// or its copy made, which makes room.
+    pub fn progress(
+        &mut self,
+        peer: Id,
+        progress: &Progress,
+        around: &Surroundings<'_>,
+        out: &mut Vec<Reply>,
+    ) {
+        let Ok(at) = self.held_at(peer, progress.request) else { return };
+        let held = &mut self.running[at];
+        let first = held.tokens == 0 || held.moving;
+        held.tokens = held.tokens.max(progress.tokens);
+        held.moving = false;
+        if first {
+            self.pump(around, out);
         }
     }
 
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -257,8 +257,8 @@
                 desk.withdraw(peer, w.request, around, out);
             }),
             Body::Release(release) => self.receive_release(peer, &release),
-            Body::Progress(p) => self.with_desk(p.server, |desk, _, _| {
-                desk.progress(peer, p.request, p.tokens);
+            Body::Progress(p) => self.with_desk(p.server, |desk, around, out| {
+                desk.progress(peer, &p, around, out);
             }),
             Body::Hold(hold) => self.with_desk(hold.server, |desk, _, _| desk.hold(peer, &hold)),
             Body::Reset(_) => {
--- a/agateroute_core/tests/world/mod.rs
+++ b/agateroute_core/tests/world/mod.rs
@@ -314,6 +314,11 @@
         self.apply(at, Event::Ended { request, end });
     }
 
+    /// What has started and still runs, in the order in which it started.
+    pub fn started(&self) -> Vec<RequestId> {
+        self.order.iter().map(|(_, request)| *request).collect()
+    }
+
     /// All instances hear that a server leaves.
     pub fn server_leaving(&mut self, server: &str) {
         for at in 0..self.instances.len() {
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -25,16 +25,17 @@
 use crate::clock::{boot_millis, unix_seconds};
 use crate::peers::{fetch_document, keep_dialing};
 use crate::routed::Routed;
-use crate::shell::Shell;
+use crate::shell::{Shell, millis};
 
-/// How often the document is read, beside when a peer tells of a newer version. A version has to be in
-/// force within two seconds.
-const DOCUMENT_PAUSE: Duration = Duration::from_millis(1_000);
+/// The part of its bound after which the document is read again, in percent, beside when a peer tells of a
+/// newer version. The rest is for the read, and for another one where the first is lost.
+const DOCUMENT_PERCENT: u64 = 50;
 /// How long a read may take before it is tried again on another connection.
 const READ_TIME: Duration = Duration::from_millis(700);
-/// How often the backend servers are read whole by instances that do not follow their changes. Peers tell
-/// of servers that leave; without them that has to be known within two seconds.
-const SERVERS_PAUSE: Duration = Duration::from_millis(1_100);
+/// The part of the bound for leaving servers after which the list is read again by instances that do not
+/// follow its changes, in percent. Peers tell of servers that leave; without them that has to be known
+/// within the bound.
+const SERVERS_PERCENT: u64 = 55;
 /// How long a read of changes waits for one.
 const CHANGES_WAIT: Duration = Duration::from_millis(600);
 /// The pause between two reads of changes, in which changes gather.
@@ -214,7 +215,7 @@
                 if take_document(&routed, row) {
                     routed.shell.note_reading(asked, 0);
                 }
-                DOCUMENT_PAUSE
+                millis(routed.bounds().configure_ms * DOCUMENT_PERCENT / 100)
             }
             Err(error) => {
                 watch.failed(&error);
@@ -451,7 +452,10 @@
                 after = Some(changes.revision);
                 routed.source.lock().roster.service_answered(now);
                 take_servers(&routed, now, &changes, revision.is_none());
-                if mine { CHANGES_PAUSE } else { SERVERS_PAUSE }
+                match mine {
+                    true => CHANGES_PAUSE,
+                    false => millis(routed.bounds().drain_ms * SERVERS_PERCENT / 100),
+                }
             }
             Err(PlatformError { cause: Cause::Gone, .. }) => {
                 after = None;
