Give less work to servers that lose or fail requests, leave silent ones, and correct the load that entries believe

Cause: a server that fails fast looks idle and draws work; a repeatable call at a silent one waited until the time-out of its route. Change: faults count in the load for some seconds; an attempt that could be followed by another one ends after twice the target; a request that ended leaves the believed load; a grant counts as told.

--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -558,8 +558,11 @@
         self.running.iter().filter(|h| h.tokens == 0 && !h.moving).map(|h| h.prompt).sum()
     }
 
-    fn grant_message(&self, request: RequestId) -> Body {
-        Body::Grant(Grant { request, server: self.server, pressure: self.pressure() })
+    fn grant_message(&mut self, request: RequestId) -> Body {
+        let pressure = self.pressure();
+        // Whoever gets this believes it until it is told otherwise.
+        self.told.1 = pressure;
+        Body::Grant(Grant { request, server: self.server, pressure })
     }
 
     fn deny(&self, ask: &Ask, reason: DenyReason, retry_ms: u32) -> Body {
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -174,13 +174,18 @@
             target_ms: ticket.target_ms,
             target_left_ms: ticket.target_at.saturating_sub(now) as u32,
         };
-        let step = match self.catalog.servers.get(&server).map(|s| s.capacity) {
+        let step = self.pressure_step(server);
+        self.health.add_pressure(server, step);
+        self.send(owner, Body::Ask(ask));
+    }
+
+    /// What one request adds to the load of a server, in thousandths of what it can take.
+    fn pressure_step(&self, server: Id) -> u32 {
+        match self.catalog.servers.get(&server).map(|s| s.capacity) {
             Some(Capacity::Engine { batch, .. }) => 1000 / batch.max(1),
             Some(Capacity::Slots { slots, .. }) => 1000 / slots.max(1),
             None => 0,
-        };
-        self.health.add_pressure(server, step);
-        self.send(owner, Body::Ask(ask));
+        }
     }
 
     /// Places the part of a running request that moves: asks for a server for it under another id.
@@ -230,7 +235,8 @@
         if alone {
             return rendezvous::owner(ticket.target, usable.into_iter());
         }
-        let pressure = |s: Id| self.health.pressure(s);
+        let now = self.now;
+        let pressure = |s: Id| self.health.reluctance(s, now);
         let mean = usable.iter().map(|s| pressure(*s)).sum::<u32>() / usable.len() as u32;
         let cached = self.prefixes.find(ticket.prefix, self.now);
         if let Some(server) = cached.filter(|s| usable.contains(s))
@@ -242,9 +248,9 @@
             (0..DRAWS).map(|_| self.draw(usable.len())).map(|at| usable[at]).collect();
         let zone = near.and_then(|from| self.zones.get(&from).copied());
         let far = |s: Id| zone.is_some() && self.zones.get(&s).copied() != zone;
-        drawn
-            .into_iter()
-            .min_by_key(|s| self.health.pressure(*s) + if far(*s) { FAR_PRESSURE } else { 0 })
+        let reluctance =
+            |s: &Id| self.health.reluctance(*s, now) + if far(*s) { FAR_PRESSURE } else { 0 };
+        drawn.into_iter().min_by_key(reluctance)
     }
 
     pub(crate) fn granted(&mut self, peer: Id, grant: &Grant) {
@@ -376,6 +382,8 @@
             End::NotStarted { .. } => (0, false, 0),
         };
         let server = running.server;
+        let step = self.pressure_step(server);
+        self.health.sub_pressure(server, step);
         let body = match end {
             End::NotStarted { .. } => Body::Withdraw(Withdraw { request, server }),
             _ => Body::Release(Release { request, server, tokens, whole, took_ms }),
@@ -391,6 +399,7 @@
             }
             End::Lost { sign, again, .. } => {
                 self.note_sign(server, running.owner, *sign);
+                self.health.failed(server, self.now);
                 if *sign == Sign::Crashed {
                     self.count_crash(&running.ticket);
                 }
--- a/agateroute_core/src/health.rs
+++ b/agateroute_core/src/health.rs
@@ -8,11 +8,29 @@
 /// How long a server that is leaving is not asked for, in milliseconds.
 const LEAVING_MS: Millis = 2_000;
 
+/// How much busier a server looks for each request that it lost or failed lately, in thousandths.
+const FAULT_PRESSURE: f32 = 150.0;
+/// The most that faults make a server look busier. It still gets work when the others are full, so that it
+/// is noticed when it works again.
+const FAULTS_MOST: f32 = 6.0;
+/// The time in which faults fade to a third, in milliseconds.
+const FAULT_MEMORY_MS: f32 = 2_000.0;
+
 /// What is known of one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Health {
     avoid: Millis,
     pressure: u32,
+    /// The faults at a moment; they fade from then on.
+    faults: f32,
+    faults_at: Millis,
+}
+
+impl Health {
+    fn faults(&self, now: Millis) -> f32 {
+        let passed = now.saturating_sub(self.faults_at) as f32;
+        self.faults * (-passed / FAULT_MEMORY_MS).exp()
+    }
 }
 
 /// What is known of all servers.
@@ -32,6 +50,19 @@
         self.rows.get(&server).map_or(0, |h| h.pressure)
     }
 
+    /// How busy a server looks, with what speaks against it.
+    pub fn reluctance(&self, server: Id, now: Millis) -> u32 {
+        let row = self.rows.get(&server);
+        row.map_or(0, |h| h.pressure + (h.faults(now) * FAULT_PRESSURE) as u32)
+    }
+
+    /// Notes that a server lost or failed a request.
+    pub fn failed(&mut self, server: Id, now: Millis) {
+        let health = self.rows.entry(server, Health::default);
+        health.faults = (health.faults(now) + 1.0).min(FAULTS_MOST);
+        health.faults_at = now;
+    }
+
     /// Takes over the load that an owner reported.
     pub fn set_pressure(&mut self, server: Id, pressure: u32) {
         self.rows.entry(server, Health::default).pressure = pressure;
@@ -42,6 +73,13 @@
         self.rows.entry(server, Health::default).pressure += pressure;
     }
 
+    /// Takes a request that ended off the load until its owner reports again.
+    pub fn sub_pressure(&mut self, server: Id, pressure: u32) {
+        if let Some(health) = self.rows.get_mut(&server) {
+            health.pressure = health.pressure.saturating_sub(pressure);
+        }
+    }
+
     /// Notes that a server refused a connection.
     pub fn refused(&mut self, server: Id, now: Millis) {
         self.avoid(server, now + REFUSED_MS);
--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -64,17 +64,25 @@
     pub memory: Option<(&'a str, &'a str)>,
 }
 
-/// Sends a request to a server.
-pub async fn make(routed: &Routed, call: &Call, server: &ServerRef, resume: Resume<'_>) -> Attempt {
+/// Sends a request to a server. With patience, an answer that does not begin within it counts as lost.
+pub async fn make(
+    routed: &Routed,
+    call: &Call,
+    server: &ServerRef,
+    resume: Resume<'_>,
+    patience: Option<Duration>,
+) -> Attempt {
     let started = Instant::now();
+    let until = patience.map_or(call.limit, |p| call.limit.min(started + p));
     let request = encode(routed, call, server, resume);
     let reuse = call.route.kind.repeatable() && resume.memory.is_none();
     let sent = routed.upstream.send(server, request, reuse);
-    let attempt = match tokio::time::timeout_at(call.limit, sent).await {
+    let attempt = match tokio::time::timeout_at(until, sent).await {
         Ok(Ok((response, connection))) => {
             receive(routed, call, response, connection, started).await
         }
         Ok(Err(error)) => failed(routed, server, &error).await,
+        Err(_) if until < call.limit => Attempt::Lost(Sign::Nothing),
         Err(_) => Attempt::TimedOut,
     };
     log(routed, call, server, &attempt, started);
--- a/agaterouted/src/passage.rs
+++ b/agaterouted/src/passage.rs
@@ -296,7 +296,7 @@
         let memory = Some((&*source.address, handle.as_str()));
         let resume = Resume { last_event: self.cutter.last_id(), memory };
         for server in [copy.to.clone(), source.clone()] {
-            let made = attempt::make(&self.routed, &self.passage.call, &server, resume).await;
+            let made = attempt::make(&self.routed, &self.passage.call, &server, resume, None).await;
             let moved = server.id != source.id;
             match made {
                 Attempt::Streams(stream) => {
@@ -361,7 +361,7 @@
             };
             self.passage.account.started(&server.name);
             let resume = Resume { last_event: self.cutter.last_id(), memory: None };
-            match attempt::make(&self.routed, &self.passage.call, &server, resume).await {
+            match attempt::make(&self.routed, &self.passage.call, &server, resume, None).await {
                 Attempt::Streams(stream) => {
                     self.passage.server = server;
                     return Some(stream);
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -48,6 +48,9 @@
 const KNOWN_MS: u64 = 2_000;
 /// The part of the time that a caller has left in which a stream has to start, as a divisor.
 const STREAM_WAIT_DIVISOR: u32 = 2;
+/// How long an attempt may take before another one is made, as a multiple of the target. Less would repeat
+/// what is only slow.
+const PATIENCE_FACTOR: u32 = 2;
 /// The name of those who need no key, in logs and metrics.
 const PUBLIC: &str = "public";
 
@@ -320,6 +323,8 @@
 /// What is known of a request that got no answer yet.
 #[derive(Default)]
 struct Progress {
+    /// The attempts that were made.
+    attempts: u32,
     /// A backend server may have begun it.
     begun: bool,
     /// The last answer of a backend server, a failure that another attempt might have mended.
@@ -351,7 +356,9 @@
         let Some(server) = allowed(routed, &call, server, &mut permit, &mut account)? else {
             continue;
         };
-        match attempt::make(routed, &call, &server, Resume::default()).await {
+        let patience = patience(&call, progress.attempts);
+        progress.attempts += 1;
+        match attempt::make(routed, &call, &server, Resume::default(), patience).await {
             Attempt::Streams(answer) => {
                 let passage = Passage { call: call.clone(), permit, account, server };
                 return Ok(passage::start(routed, passage, answer));
@@ -359,12 +366,12 @@
             Attempt::Answered(answer) => {
                 let failed = answer.head.status.is_server_error();
                 if failed && call.route.kind == RouteKind::Repeatable {
-                    progress = Progress { begun: true, failure: Some(answer) };
+                    progress = Progress { begun: true, failure: Some(answer), ..progress };
                     permit.end(lost(true));
                     continue;
                 }
                 let took_ms = answer.took.as_millis() as u32;
-                permit.end(End::Whole { tokens: 0, took_ms });
+                permit.end(if failed { lost(false) } else { End::Whole { tokens: 0, took_ms } });
                 account.close_answer();
                 return Ok(plain_response(answer));
             }
@@ -383,6 +390,13 @@
     }
 }
 
+/// How long one attempt may take where another one could follow: a server that is silent for so long has
+/// missed the target anyway.
+fn patience(call: &Call, attempts: u32) -> Option<Duration> {
+    let another = call.route.kind.repeatable() && attempts + 1 < call.route.attempts;
+    another.then(|| millis(call.route.target_ms) * PATIENCE_FACTOR)
+}
+
 fn lost(again: bool) -> End {
     End::Lost { tokens: 0, sign: agateroute_core::event::Sign::Nothing, again }
 }
--- a/agaterouted/tests/routed.rs
+++ b/agaterouted/tests/routed.rs
@@ -256,6 +256,16 @@
             assert_eq!(answer.status, StatusCode::OK, "{behaviour:?}");
         }
     }
+    // A server that is silent is left for another one, and has to stop its work.
+    platform.ledgers[0].behave(Behaviour::Mute);
+    let dropped = async || platform.ledgers[0].dropped() > 0;
+    eventually("a silent server is left", async || {
+        let answer = instance.call("GET", "/stock/1", "yew-key", "").await;
+        assert_eq!(answer.status, StatusCode::OK);
+        dropped().await
+    })
+    .await;
+    platform.ledgers[0].behave(Behaviour::Fails);
     platform.ledgers[1].behave(Behaviour::Fails);
     let answer = instance.call("GET", "/stock/1", "yew-key", "").await;
     assert_eq!(
