Split large files: instances, the composed document, lagging reports; one list of hop-by-hop fields

Read as a newcomer: source.rs held three readers and the document that they make, desk.rs the account against lagging reports; serve had a function of fifty lines and one of nine arguments; the fields of one connection stood twice.

--- a/agateroute_adapter/src/hop.rs
+++ b/agateroute_adapter/src/hop.rs
@@ -15,6 +15,11 @@
     "upgrade",
 ];
 
+/// Whether a field concerns only one connection whatever a message says.
+pub fn is_hop_field(name: &str) -> bool {
+    HOP_FIELDS.binary_search(&name).is_ok()
+}
+
 /// Whether a field is not passed on, since it concerns one connection or is named as such by the
 /// message itself.
 pub fn belongs_to_connection(headers: &HeaderMap, name: &HeaderName) -> bool {
@@ -22,6 +27,5 @@
         let fields = value.to_str().unwrap_or_default();
         fields.split(',').any(|f| f.trim().eq_ignore_ascii_case(name.as_str()))
     };
-    HOP_FIELDS.binary_search(&name.as_str()).is_ok()
-        || headers.get_all(header::CONNECTION).iter().any(named)
+    is_hop_field(name.as_str()) || headers.get_all(header::CONNECTION).iter().any(named)
 }
--- a/agateroute_core/src/desk.rs
+++ b/agateroute_core/src/desk.rs
@@ -13,16 +13,11 @@
 use crate::event::{CacheNews, Report, RequestId};
 use crate::fairness::Counters;
 use crate::id::{Id, Millis};
+use crate::lag::Sample;
 use crate::slots::Limit;
 
-/// How long a desk that has no load report admits cautiously, in milliseconds.
-const WARM_UP_MS: Millis = 1_000;
 /// When a request that waited in vain should be sent again, in milliseconds.
 const OVERDUE_RETRY_MS: u32 = 1_000;
-/// The age after which a load report no longer counts, in milliseconds.
-const REPORT_OLD_MS: Millis = 5_000;
-/// The most samples of the desk's own account that are kept to compare with lagging reports.
-const SAMPLES_MOST: usize = 64;
 /// The most organisations whose counters are kept while idle.
 const COUNTERS_MOST: usize = 4_096;
 /// The steps in which the deviations kept free follow each preemption, and each report without one.
@@ -121,7 +116,7 @@
         pub cached: Vec<u64>,
         /// When the desk was set up.
         pub since: Millis,
-        samples: Vec<Sample>,
+        pub(crate) samples: Vec<Sample>,
         interval: Option<f64>,
         departed: Millis,
         askers: Table<Id, Millis>,
@@ -140,15 +135,6 @@
     pub now: Millis,
 }
 
-value! {
-    /// The desk's own account at a moment, to compare with lagging reports.
-    struct Sample {
-        at: Millis,
-        used: u64,
-        running: u64,
-    }
-}
-
 /// A message for a peer.
 pub type Reply = (Id, Body);
 
@@ -488,57 +474,6 @@
         }
     }
 
-    fn sample(&mut self, now: Millis) {
-        if self.samples.len() >= SAMPLES_MOST {
-            self.samples.remove(0);
-        }
-        let running = self.running.len() as u64;
-        self.samples.push(Sample { at: now, used: self.account(), running });
-    }
-
-    /// What runs under permits of this desk: tokens in memory, or calls in progress.
-    pub fn account(&self) -> u64 {
-        match self.capacity {
-            Capacity::Engine { .. } => {
-                self.running.iter().map(|h| u64::from(h.prompt) + u64::from(h.tokens)).sum()
-            }
-            Capacity::Slots { .. } => self.running.len() as u64,
-        }
-    }
-
-    /// What the server reports beyond everything that this desk has permitted lately: work that
-    /// others started there. Both figures lag, so only a clear excess counts.
-    pub fn foreign(&self, now: Millis) -> u64 {
-        let Some(report) = self.fresh_report(now) else { return 0 };
-        let own = self.recent(|s| s.used).max(self.account());
-        report.used.saturating_sub(own)
-    }
-
-    /// The requests that the server reports beyond those that this desk has permitted lately.
-    pub fn foreign_running(&self, now: Millis) -> usize {
-        let Some(report) = self.fresh_report(now) else { return 0 };
-        let own = self.recent(|s| s.running).max(self.running.len() as u64);
-        u64::from(report.running).saturating_sub(own) as usize
-    }
-
-    fn fresh_report(&self, now: Millis) -> Option<&Report> {
-        let (at, report) = self.report.as_ref()?;
-        (now.saturating_sub(*at) <= REPORT_OLD_MS).then_some(report)
-    }
-
-    /// The highest of the desk's own figures in the time that the last report may speak of.
-    fn recent(&self, figure: impl Fn(&Sample) -> u64) -> u64 {
-        let Some((at, report)) = &self.report else { return 0 };
-        let from = at.saturating_sub(2 * report.age_ms.max(500));
-        self.samples.iter().filter(|s| s.at >= from).map(figure).max().unwrap_or(0)
-    }
-
-    /// Whether the desk admits only the share that is safe without a full view.
-    pub fn cautious(&self, now: Millis) -> bool {
-        let starting = self.acting || now.saturating_sub(self.since) < WARM_UP_MS;
-        starting && self.fresh_report(now).is_none()
-    }
-
     /// The load of the server, in thousandths of what it can take.
     pub fn pressure(&self) -> u32 {
         let share = |part: usize, whole: usize| (1000 * part / whole.max(1)) as u32;
--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod freshness;
 pub mod health;
 pub mod id;
+pub mod lag;
 pub mod lease;
 pub mod leaving;
 pub mod ledger;
--- a/agaterouted/src/front.rs
+++ b/agaterouted/src/front.rs
@@ -174,7 +174,8 @@
     call::serve(shell, caller, sent).await
 }
 
-fn check_head(limits: &Limits, headers: &HeaderMap) -> Result<(), ApiError> {
+/// Refuses a head with more or longer fields than a document allows.
+pub fn check_head(limits: &Limits, headers: &HeaderMap) -> Result<(), ApiError> {
     let bytes: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
     if headers.len() > limits.header_count as usize || bytes as u64 > limits.header_bytes {
         return Err(ApiError::not_run(
--- a/agaterouted/src/plain.rs
+++ b/agaterouted/src/plain.rs
@@ -1,5 +1,6 @@
 //! The adapter for plain servers: calls are passed through whole.
 
+use agateroute_adapter::hop::is_hop_field;
 use agateroute_core::event::Report;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, header};
@@ -44,25 +45,12 @@
 pub const HTTP: PlainAdapter =
     PlainAdapter { call: http_call, report: http_report, decode_report: read_load_report };
 
-/// Header fields that belong to one connection, or that name the caller's key.
-const HOP_HEADERS: [&str; 12] = [
-    "authorization",
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
+/// Header fields that are made anew for a server, or that name the caller's key.
+const OWN_FIELDS: [&str; 4] = ["authorization", "content-length", "expect", "host"];
 
 /// Whether a header field is passed on.
 pub fn passes(name: &str) -> bool {
-    HOP_HEADERS.binary_search(&name).is_err()
+    OWN_FIELDS.binary_search(&name).is_err() && !is_hop_field(name)
 }
 
 fn http_call(address: &str, order: &CallOrder<'_>) -> ServerRequest {
--- a/agaterouted/src/routed.rs
+++ b/agaterouted/src/routed.rs
@@ -20,7 +20,7 @@
 use crate::source::Source;
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
-use crate::{gate, jobs, log, peers, source, watch};
+use crate::{gate, instances, jobs, log, peers, source, watch};
 
 /// How long the table service may take for a write or a short read.
 const STORE_TIME: Duration = Duration::from_millis(1_500);
@@ -122,7 +122,7 @@
     tokio::spawn(jobs::read_suspects(shell.clone(), cancel.child_token()));
     tokio::spawn(source::follow_document(routed.clone(), cancel.child_token()));
     tokio::spawn(source::follow_servers(routed.clone(), cancel.child_token()));
-    tokio::spawn(source::follow_instances(routed.clone(), cancel.child_token()));
+    tokio::spawn(instances::follow(routed.clone(), cancel.child_token()));
     tokio::spawn(gate::accept(routed.clone(), callers, cancel.child_token()));
     tokio::spawn(gate::serve_pages(routed.clone(), ready, ready_page, cancel.child_token()));
     tokio::spawn(gate::serve_pages(routed.clone(), operators, ops_page, cancel.child_token()));
@@ -234,7 +234,7 @@
     let active = shell.active.load(Ordering::Acquire);
     spdlog::info!("leaving", kv: { active, most_ms = most.as_millis() as u64 });
     shell.leave();
-    let farewell = source::leave(routed);
+    let farewell = instances::leave(routed);
     let work = async {
         loop {
             let done = shell.active.load(Ordering::Acquire) <= 0;
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -7,10 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agateroute_config::organisation::Organisation;
 use agateroute_config::route::{Route, RouteKind};
 use agateroute_core::catalog::{model_id, service_id};
 use agateroute_core::effect::Refusal;
-use agateroute_core::event::{End, Ticket};
+use agateroute_core::event::{End, Sign, Ticket};
 use agateroute_core::id::{Id, id_of_bytes, mix};
 use agateroute_core::routes::pick_target;
 use agateroute_core::{id, leaving};
@@ -26,6 +27,7 @@
 use crate::account::{Account, Ended, Subject, Targets};
 use crate::attempt::{self, Answer, Attempt, Resume};
 use crate::error::{ApiError, OUTCOME_HEADER, Outcome};
+use crate::front::check_head;
 use crate::gate::{GateBody, whole};
 use crate::passage::{self, Passage};
 use crate::routed::Routed;
@@ -36,6 +38,8 @@
 pub const ANSWER_MOST: usize = 16 * 1024 * 1024;
 /// How long before the caller stops waiting its final answer has to be on the way.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
+/// The longest time that a caller or a route can ask for, in milliseconds: a day.
+const LONGEST_MS: u64 = 86_400_000;
 /// When asking again makes sense where nothing better is known, in milliseconds.
 const RETRY_MS: u32 = 1_000;
 /// When asking again makes sense while no document is in force or it can not be read, in milliseconds.
@@ -80,6 +84,13 @@
     pub limit: Instant,
 }
 
+impl Call {
+    /// The organisation for logs, metrics and fairness.
+    fn organisation_name(&self) -> &str {
+        self.organisation.as_deref().unwrap_or(PUBLIC)
+    }
+}
+
 /// Serves one request. Whatever happens, the caller gets an answer.
 pub async fn handle(routed: Arc<Routed>, request: Request<Incoming>) -> Response<GateBody> {
     let arrived = Instant::now();
@@ -136,23 +147,51 @@
     if !routed.shell.configured() {
         return Err(unready("no document is in force yet"));
     }
-    let host = host_of(&head);
-    let route = find_route(routed, &in_force, &host, head.uri.path())?.clone();
+    check_head(&in_force.document.limits, &head.headers)?;
+    let route = find_route(routed, &in_force, &host_of(&head), head.uri.path())?.clone();
     let organisation = permitted(routed, &in_force, &route, &head.headers)?;
     refuse_what_is_cut(routed, &route, &head.headers)?;
     let body = read_body(body, &in_force, millis(route.timeout_ms)).await?;
-    let facts = (routed.deployment.callers.read)(&head.headers);
-    let deadline = facts.deadline_ms.map(|ms| arrived + millis(ms));
-    let due = arrived + millis(route.timeout_ms);
-    let limit = deadline.map_or(due, |d| (d - DEADLINE_MARGIN).min(due));
-    let ranked = organisation.as_ref().and_then(|o| o.rank.as_deref()).unwrap_or(&route.rank);
-    let rank = in_force.document.rank_index(ranked).unwrap_or(0) as u8;
-    let named: Option<Arc<str>> = organisation.map(|o| o.name.as_str().into());
-    let organisation = named.clone().unwrap_or_else(|| PUBLIC.into());
-    let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+    let (deadline, limit) = times(routed, &route, &head.headers, arrived);
+    let ranked = organisation.and_then(|o| o.rank.as_ref()).unwrap_or(&route.rank).clone();
+    let rank = in_force.document.rank_index(&ranked).unwrap_or(0) as u8;
+    let call = Call {
+        id: id.clone(),
+        path: head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned(),
+        method: head.method,
+        headers: head.headers,
+        body,
+        organisation: organisation.map(|o| o.name.as_str().into()),
+        route,
+        rank,
+        deadline,
+        limit,
+    };
+    let account = open_account(routed, &call, &ranked)?;
+    let ticket = ticket(routed, &in_force, &call);
+    run(routed, Arc::new(call), account, ticket).await
+}
+
+/// When the caller stops waiting, and when its final answer has to be there.
+fn times(
+    routed: &Routed,
+    route: &Route,
+    headers: &HeaderMap,
+    arrived: Instant,
+) -> (Option<Instant>, Instant) {
+    let facts = (routed.deployment.callers.read)(headers);
+    let after = |ms: u64| arrived + millis(ms.min(LONGEST_MS));
+    let deadline = facts.deadline_ms.map(after);
+    let due = after(route.timeout_ms);
+    let limit = deadline.map_or(due, |d| d.checked_sub(DEADLINE_MARGIN).unwrap_or(d).min(due));
+    (deadline, limit)
+}
+
+fn open_account(routed: &Arc<Routed>, call: &Call, ranked: &str) -> Result<Account, ApiError> {
+    let route = &call.route;
     let subject = Subject {
-        request: id.clone(),
-        organisation: organisation.clone(),
+        request: call.id.clone(),
+        organisation: call.organisation_name().into(),
         kind: route.name.as_str().into(),
         rank: ranked.into(),
     };
@@ -161,26 +200,9 @@
         between: if route.gap_ms > 0 { millis(route.gap_ms) } else { Duration::MAX },
         answer: millis(route.target_ms),
     };
-    let context = routed.shell.telemetry.span("caller", SpanKind::Server, &extract(&head.headers));
-    let account = Account::open(&routed.shell, subject, targets, context)?;
-    let ticket =
-        ticket(routed, &in_force, &route, &facts, &organisation, rank, limit, &path, &body);
-    let (method, headers) = (head.method.clone(), head.headers.clone());
-    drop(facts);
-    let id = id.clone();
-    let call = Arc::new(Call {
-        id,
-        method,
-        path,
-        headers,
-        body,
-        organisation: named,
-        route,
-        rank,
-        deadline,
-        limit,
-    });
-    run(routed, call, account, ticket).await
+    let parent = extract(&call.headers);
+    let context = routed.shell.telemetry.span("caller", SpanKind::Server, &parent);
+    Account::open(&routed.shell, subject, targets, context)
 }
 
 fn host_of(head: &request::Parts) -> String {
@@ -213,7 +235,7 @@
     in_force: &'a InForce,
     route: &Route,
     headers: &HeaderMap,
-) -> Result<Option<&'a agateroute_config::organisation::Organisation>, ApiError> {
+) -> Result<Option<&'a Organisation>, ApiError> {
     let key = (routed.deployment.callers.read)(headers).key;
     let found = key.and_then(|k| in_force.keys.find(k));
     let found = found.map(|at| &in_force.document.organisations[at]);
@@ -282,38 +304,29 @@
     }
 }
 
-#[allow(clippy::too_many_arguments, reason = "a ticket is made of everything that is known")]
-fn ticket(
-    routed: &Routed,
-    in_force: &InForce,
-    route: &Route,
-    facts: &agateroute_adapter::caller::Facts<'_>,
-    organisation: &str,
-    rank: u8,
-    limit: Instant,
-    path: &str,
-    body: &Bytes,
-) -> Ticket {
+fn ticket(routed: &Routed, in_force: &InForce, call: &Call) -> Ticket {
+    let route = &call.route;
+    let facts = (routed.deployment.callers.read)(&call.headers);
     let service = pick_target(route, rand::random()).unwrap_or_default();
     let shared = facts.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let prefix = shared.iter().fold(0, |hash, part| mix(hash, part.id));
-    let left = limit.saturating_duration_since(Instant::now());
+    let left = call.limit.saturating_duration_since(Instant::now());
     let patience = if route.kind.streams() { left / STREAM_WAIT_DIVISOR } else { left };
-    let organisation = id(organisation);
+    let organisation = id(call.organisation_name());
+    let now = routed.shell.now();
     Ticket {
         request: routed.shell.next_request(),
         organisation,
         target: target_id(in_force, service),
         kind: id(&route.name),
-        rank,
+        rank: call.rank,
         prompt: facts.size.map_or(0, |s| s.prompt),
         most: facts.size.map_or(0, |s| s.most),
-        prefix,
+        prefix: shared.iter().fold(0, |hash, part| mix(hash, part.id)),
         shared: shared.iter().map(|p| p.tokens).sum(),
-        fingerprint: mix(mix(organisation, id(path)), id_of_bytes(body)),
-        deadline: routed.shell.now() + patience.as_millis() as u64,
+        fingerprint: mix(mix(organisation, id(&call.path)), id_of_bytes(&call.body)),
+        deadline: now + patience.as_millis() as u64,
         target_ms: route.target_ms.min(u64::from(u32::MAX)) as u32,
-        target_at: routed.shell.now() + route.target_ms,
+        target_at: now + route.target_ms,
         hint: facts.length_hint.unwrap_or(0),
         movable: route.kind.streams() && routed.source.capacity(route).is_some_and(|c| c.moves),
         attempts: if route.kind.repeatable() { route.attempts } else { 1 },
@@ -398,7 +411,7 @@
 }
 
 fn lost(again: bool) -> End {
-    End::Lost { tokens: 0, sign: agateroute_core::event::Sign::Nothing, again }
+    End::Lost { tokens: 0, sign: Sign::Nothing, again }
 }
 
 /// Checks at the moment of sending what may have changed while the request waited.
@@ -411,7 +424,7 @@
 ) -> Result<Option<ServerRef>, ApiError> {
     let in_force = routed.shell.in_force();
     if let Err(error) = permitted(routed, &in_force, &call.route, &call.headers) {
-        permit.end(End::NotStarted { sign: agateroute_core::event::Sign::Refused });
+        permit.end(End::NotStarted { sign: Sign::Refused });
         account.close(Ended::NotRun);
         return Err(error);
     }
@@ -421,7 +434,7 @@
             Ok(Some(found.clone()))
         }
         None => {
-            permit.end(End::NotStarted { sign: agateroute_core::event::Sign::Refused });
+            permit.end(End::NotStarted { sign: Sign::Refused });
             Ok(None)
         }
     }
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -1,5 +1,5 @@
-//! What an instance on a platform reads from the table service: the operator's document, the backend
-//! servers, and the other instances.
+//! What an instance on a platform reads from the table service: the operator's document and the backend
+//! servers.
 //!
 //! See `docs/PLATFORM.md` for how often each is read and what holds while the service is away.
 
@@ -8,22 +8,17 @@
 use std::time::Duration;
 
 use agateroute_adapter::deployment::{Declared, ServiceCapacity};
-use agateroute_adapter::{Bounds, Changes, Deployment, RowChange};
-use agateroute_config::Document;
+use agateroute_adapter::{Changes, Deployment, RowChange};
 use agateroute_config::route::Route;
-use agateroute_config::routing::Routing;
-use agateroute_config::server::{Engine, Fencing, Plain, Server};
-use agateroute_core::membership::Listed;
+use agateroute_core::id;
 use agateroute_core::roster::{Change, Listing, Roster};
-use agateroute_core::{Event, Table, id};
 use agateroute_storage::error::Cause;
-use agateroute_storage::table::{Condition, Row, Write};
 use agateroute_storage::{Client, PlatformError};
-use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::{boot_millis, unix_seconds};
-use crate::peers::{fetch_document, keep_dialing};
+use crate::clock::boot_millis;
+use crate::compose::{PeerDocument, compose};
+use crate::peers::fetch_document;
 use crate::routed::Routed;
 use crate::shell::{Shell, millis};
 
@@ -48,28 +43,8 @@
 const ASK_PEERS_MS: u64 = 1_200;
 /// The pages of a table that are read at once, against a service that says there are always more.
 const PAGES_MOST: usize = 64;
-/// The partition of the rows of instances.
-const INSTANCES_PARTITION: &str = "instances";
-/// The most instances that are read.
-const INSTANCES_MOST: usize = 500;
-/// How often the rows of instances are read.
-const INSTANCES_PAUSE: Duration = Duration::from_secs(5);
-/// How often an instance writes its row.
-const ANNOUNCE_SECONDS: u64 = 20;
-/// How long the row of an instance counts after it was written.
-const ANNOUNCED_SECONDS: u64 = 60;
 /// The duty of following the changes of the backend servers.
 const DISCOVERY_DUTY: &str = "discovery";
-/// How often peers are told to be silent before they are given up, in milliseconds: two heartbeats
-/// more than a slow network loses.
-const PEER_MS: u64 = 1_000;
-/// How often a refused or failed request is tried on another backend server.
-const RETRIES: u32 = 3;
-/// The prompts that one engine is given to read at a time, in tokens: about a second of reading between
-/// the steps of what runs there.
-const UNREAD_TOKENS: u32 = 6_500;
-/// The crashes under a request after which it is refused. The third may be coincidence no more.
-const QUARANTINE_CRASHES: u32 = 3;
 
 /// What is read from the table service.
 #[derive(Debug)]
@@ -172,26 +147,34 @@
 
 /// Logs when a dependency is lost and when it is back, once each.
 #[derive(Debug)]
-struct Watch {
+pub struct Watch {
     what: &'static str,
     lost: bool,
 }
 
 impl Watch {
-    fn failed(&mut self, error: &PlatformError) {
+    /// A watch over something that is well.
+    pub fn new(what: &'static str) -> Watch {
+        Watch { what, lost: false }
+    }
+
+    /// Notes a failed read.
+    pub fn failed(&mut self, error: &PlatformError) {
         if !std::mem::replace(&mut self.lost, true) {
             spdlog::warn!("dependency_lost", kv: { what: = self.what, error: });
         }
     }
 
-    fn answered(&mut self) {
+    /// Notes a read that succeeded.
+    pub fn answered(&mut self) {
         if std::mem::take(&mut self.lost) {
             spdlog::info!("dependency_regained", kv: { what: = self.what });
         }
     }
 }
 
-async fn pause(cancel: &CancellationToken, time: Duration) -> bool {
+/// Waits, unless cancelled. Returns whether it was.
+pub async fn pause(cancel: &CancellationToken, time: Duration) -> bool {
     tokio::select! {
         () = cancel.cancelled() => true,
         () = tokio::time::sleep(time) => false,
@@ -205,7 +188,7 @@
 /// Keeps the newest document in force, until cancelled.
 pub async fn follow_document(routed: Arc<Routed>, cancel: CancellationToken) {
     let (table, key) = routed.deployment.document_row;
-    let mut watch = Watch { what: "document", lost: false };
+    let mut watch = Watch::new("document");
     loop {
         let asked = boot_millis();
         let time = match routed.source.read_whole(&routed.deployment, table).await {
@@ -287,26 +270,6 @@
     }
 }
 
-/// A document as peers pass it on, with the servers that they list.
-#[derive(Debug, Deserialize, Serialize)]
-struct PeerDocument {
-    document: Document,
-    capacities: Vec<(String, Option<u64>, u32, bool)>,
-    servers: Vec<PeerListing>,
-}
-
-/// A listed server as peers pass it on.
-#[derive(Debug, Deserialize, Serialize)]
-struct PeerListing {
-    revision: u64,
-    name: String,
-    service: String,
-    address: String,
-    zone: String,
-    slots: u32,
-    born: u64,
-}
-
 /// Takes over what a peer holds. Servers that it does not list may have been listed since.
 fn take_held(routed: &Routed, mut held: PeerDocument, version: u64) {
     let servers = std::mem::take(&mut held.servers);
@@ -314,16 +277,8 @@
     let mut change = Change::None;
     let mut state = routed.source.lock();
     for s in servers {
-        let (revision, name) = (s.revision, s.name.clone());
-        let listing = Listing {
-            name: s.name,
-            service: s.service,
-            address: s.address,
-            zone: s.zone,
-            slots: s.slots,
-            ready: true,
-            born: s.born,
-        };
+        let (revision, listing) = (s.revision, s.into_listing());
+        let name = listing.name.clone();
         change = change.max(state.roster.set(now, &name, revision, Some(listing)));
         state.listed = true;
     }
@@ -334,37 +289,6 @@
     }
 }
 
-impl PeerDocument {
-    /// What this instance passes on.
-    fn new(declared: &Declared, roster: &Roster) -> PeerDocument {
-        let capacity = |(name, c): &(String, ServiceCapacity)| {
-            (name.clone(), c.memory_tokens, c.event_tokens, c.moves)
-        };
-        let listing = |(revision, l): (u64, &Listing)| PeerListing {
-            revision,
-            name: l.name.clone(),
-            service: l.service.clone(),
-            address: l.address.clone(),
-            zone: l.zone.clone(),
-            slots: l.slots,
-            born: l.born,
-        };
-        PeerDocument {
-            document: Document { servers: Vec::new(), ..declared.document.clone() },
-            capacities: declared.capacities.iter().map(capacity).collect(),
-            servers: roster.ready_with_revision().map(listing).collect(),
-        }
-    }
-
-    fn into_declared(self, version: u64) -> Declared {
-        let capacity = |(name, memory_tokens, event_tokens, moves)| {
-            (name, ServiceCapacity { memory_tokens, event_tokens, moves })
-        };
-        let capacities = self.capacities.into_iter().map(capacity).collect();
-        Declared { version, document: self.document, capacities }
-    }
-}
-
 /// Brings the declared document into force, with the servers and bounds as they stand.
 pub fn bring_into_force(routed: &Routed) {
     let bounds = routed.bounds();
@@ -386,55 +310,11 @@
     spdlog::info!("servers_in_force", kv: { version = declared.version, servers });
 }
 
-/// The declared document with the listed servers.
-fn compose(declared: &Declared, roster: &Roster, bounds: &Bounds) -> Document {
-    let capacity = |service: &str| declared.capacities.iter().find(|(name, _)| name == service);
-    let server = |listing: &Listing| {
-        let (_, capacity) = capacity(&listing.service)?;
-        Some(listed_server(listing, capacity))
-    };
-    let routing = Routing {
-        retry_percent: bounds.retry_percent,
-        retry_slack: bounds.retry_slack,
-        retry_window_ms: bounds.retry_window_ms,
-        retries: RETRIES,
-        peer_ms: PEER_MS,
-        fallback_percent: 100,
-        quarantine_crashes: QUARANTINE_CRASHES,
-        suspects_alone: false,
-        unread_tokens: UNREAD_TOKENS,
-        ..Routing::default()
-    };
-    let servers = roster.ready().filter_map(server).collect();
-    Document { servers, routing, ..declared.document.clone() }
-}
-
-fn listed_server(listing: &Listing, capacity: &ServiceCapacity) -> Server {
-    let service = listing.service.clone();
-    let engine = capacity.memory_tokens.map(|memory_tokens| Engine {
-        models: vec![service.clone()],
-        memory_tokens,
-        batch: listing.slots.max(1),
-    });
-    let plain = match engine {
-        Some(_) => None,
-        None => Some(Plain { service, slots: listing.slots.max(1), adaptive: false }),
-    };
-    Server {
-        name: listing.name.clone(),
-        address: listing.address.clone(),
-        zone: listing.zone.clone(),
-        fencing: Fencing::Ignores,
-        engine,
-        plain,
-    }
-}
-
 /// Keeps the list of backend servers, until cancelled. The instance that has this duty follows the
 /// changes and tells its peers of servers that leave; the others read the list now and then.
 pub async fn follow_servers(routed: Arc<Routed>, cancel: CancellationToken) {
     let table = routed.deployment.discovery_table;
-    let mut watch = Watch { what: "discovery", lost: false };
+    let mut watch = Watch::new("discovery");
     let mut after: Option<u64> = None;
     let mut reads = 0;
     loop {
@@ -534,87 +414,3 @@
         }
     }
 }
-
-/// The row of an instance.
-#[derive(Debug, Deserialize, Serialize)]
-struct InstanceRow {
-    address: String,
-    leaving: bool,
-}
-
-/// Writes the row of this instance and reads those of the others, until cancelled.
-pub async fn follow_instances(routed: Arc<Routed>, cancel: CancellationToken) {
-    let shell = &routed.shell;
-    let Some(table) = &shell.table else { return };
-    let mut watch = Watch { what: "instances", lost: false };
-    let mut dialed: Table<String, ()> = Table::default();
-    let mut announced = 0;
-    loop {
-        if unix_seconds().abs_diff(announced) >= ANNOUNCE_SECONDS && announce(&routed, false).await
-        {
-            announced = unix_seconds();
-        }
-        match table.query(INSTANCES_PARTITION, "", INSTANCES_MOST).await {
-            Ok(rows) => {
-                watch.answered();
-                let fresh = rows.into_iter().filter(|r| r.expires > unix_seconds());
-                take_instances(&routed, fresh, &mut dialed, &cancel);
-            }
-            Err(error) => watch.failed(&error),
-        }
-        if pause(&cancel, INSTANCES_PAUSE).await {
-            return;
-        }
-    }
-}
-
-fn take_instances(
-    routed: &Routed,
-    rows: impl Iterator<Item = Row>,
-    dialed: &mut Table<String, ()>,
-    cancel: &CancellationToken,
-) {
-    let shell = &routed.shell;
-    let mut instances = Vec::new();
-    for row in rows.filter(|r| r.sort != shell.me.name) {
-        let read: InstanceRow = match serde_json::from_str(&row.value) {
-            Ok(read) => read,
-            Err(error) => {
-                spdlog::warn!("instance_row_not_read", kv: { name: = row.sort.as_str(), error: });
-                continue;
-            }
-        };
-        instances.push(Listed { name: row.sort, leaving: read.leaving });
-        if read.address != shell.settings.peer && dialed.insert(read.address.clone(), ()).is_none()
-        {
-            tokio::spawn(keep_dialing(shell.clone(), read.address, cancel.child_token()));
-        }
-    }
-    shell.apply(Event::Listed { instances });
-}
-
-/// Writes the row of this instance. Returns whether it was written.
-async fn announce(routed: &Routed, leaving: bool) -> bool {
-    let shell = &routed.shell;
-    let Some(table) = &shell.table else { return false };
-    let value = InstanceRow { address: shell.settings.peer.clone(), leaving };
-    let row = Row {
-        partition: INSTANCES_PARTITION.to_owned(),
-        sort: shell.me.name.clone(),
-        tag: shell.me.start.to_string(),
-        value: serde_json::to_string(&value).unwrap_or_default(),
-        expires: unix_seconds() + ANNOUNCED_SECONDS,
-    };
-    match table.transact(&[Write { row: &row, condition: Condition::Always }]).await {
-        Ok(_) => true,
-        Err(error) => {
-            spdlog::warn!("instance_row_not_written", kv: { error: });
-            false
-        }
-    }
-}
-
-/// Tells the others that this instance leaves.
-pub async fn leave(routed: &Routed) {
-    announce(routed, true).await;
-}
--- a/agaterouted/tests/routed.rs
+++ b/agaterouted/tests/routed.rs
@@ -122,13 +122,17 @@
 
 impl Instance {
     fn request(&self, method: &str, path: &str, key: &str) -> http::request::Builder {
+        self.endless(method, path, key).header(standin::DEADLINE, "20000")
+    }
+
+    /// A request whose caller says nothing of how long it waits.
+    fn endless(&self, method: &str, path: &str, key: &str) -> http::request::Builder {
         let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
         let mut builder = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.listen))
             .header(header::HOST, "A.example")
-            .header(standin::REQUEST_ID, format!("request-{number}"))
-            .header(standin::DEADLINE, "20000");
+            .header(standin::REQUEST_ID, format!("request-{number}"));
         if !key.is_empty() {
             builder = builder.header(header::AUTHORIZATION, standin::key_field(key));
         }
@@ -212,11 +216,25 @@
     assert_eq!(status("/order/", "", "").await, 401);
     assert_eq!(status("/order/", "yew-key", &"x".repeat(10_001)).await, 413);
     assert!(platform.ledgers[0].runs().is_empty(), "nothing of this reaches a server");
-    let long = instance
-        .request("POST", "/order/", "yew-key")
-        .header("x-long", "x".repeat(70_000))
+    let endless = instance
+        .endless("POST", "/order/", "yew-key")
+        .header(standin::SIZE, "4294967295,4294967295")
+        .header(standin::DEADLINE, u64::MAX.to_string())
         .body(Full::default());
-    assert_eq!(instance.send(long.expect("a request")).await.status, 431);
+    assert_eq!(
+        instance.send(endless.expect("a request")).await.status,
+        200,
+        "as long as it may take"
+    );
+    platform.ledgers[0].forget_runs();
+    for length in [9_000, 70_000] {
+        let long = instance
+            .request("POST", "/order/", "yew-key")
+            .header("x-long", "x".repeat(length))
+            .body(Full::default());
+        assert_eq!(instance.send(long.expect("a request")).await.status, 431);
+    }
+    assert!(platform.ledgers[0].runs().is_empty(), "nothing of this reaches a server");
 }
 
 #[tokio::test]
