--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agateroute_adapter::server::{Judgement, Order};
+use agateroute_adapter::server::{Judgement, Order, ServerLoad};
 use agateroute_core::event::Sign;
 use bytes::Bytes;
 use http::{Request, StatusCode, response};
@@ -41,6 +41,8 @@
     pub body: Bytes,
     /// How long the server took.
     pub took: Duration,
+    /// The load that the server told.
+    pub load: Option<ServerLoad>,
 }
 
 /// A stream whose head has come.
@@ -142,7 +144,8 @@
             if !judgement.closing {
                 routed.upstream.keep(connection, judgement.keeps);
             }
-            Attempt::Answered(Answer { head, body: body.to_bytes(), took: started.elapsed() })
+            let (body, took) = (body.to_bytes(), started.elapsed());
+            Attempt::Answered(Answer { head, body, took, load: judgement.load })
         }
         Ok(Err(_)) => Attempt::Lost(Sign::Nothing),
         Err(_) => Attempt::TimedOut,
@@ -172,6 +175,13 @@
         Attempt::Lost(_) => ("lost", 0),
         Attempt::TimedOut => ("timed_out", 0),
     };
+    let load = match attempt {
+        Attempt::Answered(answer) => answer.load,
+        Attempt::Streams(stream) => stream.judgement.load,
+        _ => None,
+    };
+    let load =
+        load.map_or_else(String::new, |l| format!("{}+{}/{}", l.running, l.waiting, l.slots));
     spdlog::info!("attempt", kv: {
         request: = &*call.id,
         route: = call.route.name.as_str(),
@@ -179,6 +189,7 @@
         outcome,
         status,
         took_ms = started.elapsed().as_millis() as u64,
+        load: = load.as_str(),
         version = routed.shell.in_force().version,
         reading_age_ms = routed.reading_age(),
     });
--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -43,7 +43,9 @@
 /// Runs an instance until it is told to stop.
 pub fn run(args: &Args) -> Result<(), StartError> {
     if args.platform {
-        return routed::run(agateroute_platform::deployment().map_err(fail("settings"))?);
+        let mut deployment = agateroute_platform::deployment().map_err(fail("settings"))?;
+        args.override_settings(&mut deployment.settings);
+        return routed::run(deployment);
     }
     let Some(path) = &args.settings else {
         return Err(fail("arguments")("one of --settings and --platform is needed"));
--- a/agaterouted/tests/routed.rs
+++ b/agaterouted/tests/routed.rs
@@ -334,6 +334,28 @@
     assert_eq!(runs[0].id, runs[1].id, "it is the same request");
 }
 
+#[tokio::test]
+async fn crowded_servers() {
+    let platform = platform(0, 2, 10).await;
+    let instances = [platform.instance(5_000).await, platform.instance(5_000).await];
+    let linked = async || instances.iter().all(|i| i.logged("event=peer_linked"));
+    eventually("they know of each other", linked).await;
+    let asked = (0..24).map(|i| {
+        let instance = &instances[i % 2];
+        let request = instance
+            .request("POST", "/draft/", "yew-key")
+            .header(standin::SIZE, "3000,40")
+            .body(Full::default());
+        instance.send(request.expect("a request"))
+    });
+    for answer in futures_util::future::join_all(asked).await {
+        assert!(answer.whole, "{answer:?}");
+        assert_eq!(numbers(&answer.body).len(), 10);
+    }
+    let refused: u64 = platform.writers.iter().map(Server::refused_crowded).sum();
+    assert_eq!(refused, 0, "work waits for a permit, not at the servers");
+}
+
 #[tokio::test]
 async fn cut_streams() {
     let platform = platform(0, 2, 60).await;
