--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -95,7 +95,7 @@
     }
 
     /// What the document allows in retries, with the part of this instance in the slack.
-    fn allowance(&self) -> Allowance {
+    pub(crate) fn allowance(&self) -> Allowance {
         let routing = self.catalog.routing();
         Allowance {
             percent: routing.retry_percent,
--- a/agateroute_core/src/retry.rs
+++ b/agateroute_core/src/retry.rs
@@ -53,6 +53,12 @@
         self.targets.entry(target, Window::default).part(now, allowance).arrivals += 1;
     }
 
+    /// Counts a generation that went on at another server. It is not refused for lack of budget, since it
+    /// would be lost, but it arrives there like a retry, so it leaves fewer of them.
+    pub fn charge(&mut self, target: Id, now: Millis, allowance: Allowance) {
+        self.targets.entry(target, Window::default).part(now, allowance).retries += 1;
+    }
+
     /// Takes one retry out of the budget, if there is one.
     pub fn spend(&mut self, target: Id, now: Millis, allowance: Allowance) -> bool {
         let window = self.targets.entry(target, Window::default);
--- a/agateroute_core/tests/retries.rs
+++ b/agateroute_core/tests/retries.rs
@@ -23,6 +23,20 @@
     assert!(budget.spend(TARGET + 1, 5, allowance(4)), "another target has its own budget");
 }
 
+#[test]
+fn moves_counted() {
+    let mut budget = Budget::default();
+    for _ in 0..50 {
+        budget.charge(TARGET, 5, allowance(1));
+    }
+    let spent = (0..100).filter(|_| budget.spend(TARGET, 5, allowance(1))).count();
+    assert_eq!(spent, 8, "what moves leave of 58");
+    for _ in 0..50 {
+        budget.charge(TARGET, 5, allowance(1));
+    }
+    assert!(!budget.spend(TARGET, 9_000, allowance(1)), "beyond the budget only moves go on");
+}
+
 #[test]
 fn window_slides() {
     let mut budget = Budget::default();
