Announce servers that go missing from a whole read of the list

Change: the roster says which servers are gone, by a change, a whole read or the end of their grace; the test gone_is_told failed to build before, since nothing told it. Still open: the duty of following stays with an instance that has lost the table service.

--- a/agateroute_core/src/roster.rs
+++ b/agateroute_core/src/roster.rs
@@ -56,6 +56,7 @@
     rows: Table<String, Row>,
     failed: Option<Millis>,
     away: bool,
+    gone: Vec<String>,
 }
 
 impl Roster {
@@ -92,6 +93,9 @@
         match listing {
             Some(listing) => {
                 let same = known.is_some_and(|r| r.listing == listing);
+                if !listing.ready && known.is_some_and(|r| r.listing.ready) {
+                    self.gone.push(name.to_owned());
+                }
                 self.rows.insert(name.to_owned(), Row { revision, listing, lapses: None });
                 if same { Change::None } else { Change::Servers }
             }
@@ -106,10 +110,18 @@
             row.lapses = row.lapses.or(Some(now + LAPSE_MS));
             return Change::None;
         }
+        if row.listing.ready {
+            self.gone.push(name.to_owned());
+        }
         self.rows.remove(&name.to_owned());
         Change::Servers
     }
 
+    /// The servers that took new work until now and do not any more, since this was last asked.
+    pub fn take_gone(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.gone)
+    }
+
     /// Takes over all rows as they stand at a revision; what is not among them is missing.
     pub fn set_all(
         &mut self,
@@ -142,7 +154,14 @@
             return Change::None;
         }
         let before = self.rows.len();
-        self.rows.retain(|_, row| row.lapses.is_none_or(|until| now < until));
+        let gone = &mut self.gone;
+        self.rows.retain(|name, row| {
+            let keep = row.lapses.is_none_or(|until| now < until);
+            if !keep && row.listing.ready {
+                gone.push(name.clone());
+            }
+            keep
+        });
         if self.rows.len() < before { Change::Servers } else { Change::None }
     }
 
@@ -155,9 +174,4 @@
     pub fn ready_with_revision(&self) -> impl Iterator<Item = (u64, &Listing)> {
         self.rows.values().filter(|r| r.listing.ready).map(|r| (r.revision, &r.listing))
     }
-
-    /// The listing of a server, also of one that is leaving.
-    pub fn listing(&self, name: &str) -> Option<&Listing> {
-        self.rows.get(&name.to_owned()).map(|r| &r.listing)
-    }
 }
--- a/agateroute_core/tests/roster.rs
+++ b/agateroute_core/tests/roster.rs
@@ -71,3 +71,20 @@
     assert_eq!(roster.set(1_200, "s-1", 31, None), Change::Servers);
     assert_eq!(ready(&roster), ["s-2"]);
 }
+
+#[test]
+fn gone_is_told() {
+    // Whatever tells it: a change, a whole read in which a server is missing, or the end of its grace.
+    let mut roster = two_servers();
+    roster.set(10, "s-1", 20, Some(listing("s-1", false)));
+    assert_eq!(roster.take_gone(), ["s-1"]);
+    roster.set_all(20, 30, Vec::new());
+    assert_eq!(roster.take_gone(), ["s-2"], "one that was leaving already is not told again");
+    let mut roster = two_servers();
+    roster.service_failed(1_000);
+    roster.service_answered(2_000);
+    roster.set_all(2_000, 30, Vec::new());
+    assert!(roster.take_gone().is_empty(), "they may return");
+    roster.expire(3_900);
+    assert_eq!(roster.take_gone(), ["s-1", "s-2"]);
+}
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -361,14 +361,9 @@
 fn take_servers(routed: &Routed, now: u64, changes: &Changes, whole: bool) {
     let mut guard = routed.source.lock();
     let state = &mut *guard;
-    let mut left: Vec<String> = Vec::new();
     let mut listings = Vec::new();
     for row in &changes.rows {
         let listing = read_listing(routed, row, &mut state.foreign);
-        let leaves = listing.as_ref().is_none_or(|l| !l.ready);
-        if leaves && state.roster.listing(&row.key).is_some_and(|l| l.ready) {
-            left.push(row.key.clone());
-        }
         listings.push((row.key.clone(), row.revision, listing));
     }
     let mut change = Change::None;
@@ -383,8 +378,9 @@
     if !std::mem::replace(&mut state.listed, true) {
         change = Change::Servers;
     }
+    let gone = state.roster.take_gone();
     drop(guard);
-    for name in left {
+    for name in gone {
         spdlog::info!("server_leaving", kv: { server: = name.as_str(), revision = changes.revision });
         routed.shell.tell_leaving(id(&name));
     }
