Follow the era of the table service and keep what a restored copy lacks

Cause: the platform's table service may come back from a copy some seconds old. A fresh read of the old document renewed the right to serve a withdrawn key, an instance that started then took the old document although its peers had the newer one, and rows of instances stayed lost until their next periodic write. Ruled out: guessing a return from lower revisions, since revisions are given out again and pass the old ones. Change: the era is decoded on each response by the one client; a response that spans two eras or belongs to a former one is an error. The reducer's Restores decides what a read of the document proves, the roster compares restored entries by the number of their servers' own writes, documents are ordered by version and era, peers exchange both, and an instance writes its row and the suspects it owns again.

--- a/agateroute_adapter/src/deployment.rs
+++ b/agateroute_adapter/src/deployment.rs
@@ -4,6 +4,7 @@
 
 use agateroute_config::{Document, Settings};
 use agateroute_core::roster::Listing;
+use agateroute_storage::http::DecodeEra;
 use agateroute_storage::table::TableAdapter;
 
 use crate::{CallerAdapter, FeedAdapter, ServerAdapter};
@@ -27,6 +28,10 @@
     pub rows: TableAdapter,
     /// The adapter for the change feed of a table.
     pub feed: FeedAdapter,
+    /// Decodes the era of the table service from any of its responses.
+    pub decode_era: DecodeEra,
+    /// Whether the whole system starts for the first time, so that the table service can not have lost anything.
+    pub first_start: bool,
     /// The table and the key of the operator's document.
     pub document_row: (&'static str, &'static str),
     /// Decodes the operator's document. The error is a message for operators.
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -215,6 +215,8 @@
             /// The number of backend servers that crashed under it.
             crashes: u32,
         },
+        /// The table service came back from a copy and may have lost rows that this instance wrote.
+        TableRestored,
         /// A call that must run at most once needs its claim written or settled.
         ClaimSubmitted(Claim),
         /// A transaction of claims ended.
--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod readers;
 pub mod relay;
 pub mod rendezvous;
+pub mod restore;
 pub mod retry;
 pub mod roster;
 pub mod routes;
--- a/agateroute_core/src/newest.rs
+++ b/agateroute_core/src/newest.rs
@@ -2,19 +2,19 @@
 
 /// The newest version of a value; an older version never replaces it.
 #[derive(Clone, Debug)]
-pub struct Newest<T> {
-    current: Option<(u64, T)>,
+pub struct Newest<K, T> {
+    current: Option<(K, T)>,
 }
 
-impl<T> Default for Newest<T> {
-    fn default() -> Newest<T> {
+impl<K, T> Default for Newest<K, T> {
+    fn default() -> Newest<K, T> {
         Newest { current: None }
     }
 }
 
-impl<T> Newest<T> {
+impl<K: Copy + Ord, T> Newest<K, T> {
     /// Stores a value if its version is newer than the current one. Returns whether it was stored.
-    pub fn offer(&mut self, version: u64, value: T) -> bool {
+    pub fn offer(&mut self, version: K, value: T) -> bool {
         let newer = self.version().is_none_or(|held| held < version);
         if newer {
             self.current = Some((version, value));
@@ -23,7 +23,7 @@
     }
 
     /// Returns the version of the current value, if there is one.
-    pub fn version(&self) -> Option<u64> {
+    pub fn version(&self) -> Option<K> {
         self.current.as_ref().map(|(version, _)| *version)
     }
 
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -137,6 +137,7 @@
             Event::SuspectLoaded { fingerprint, crashes } => {
                 self.suspects.update(fingerprint, crashes, self.now);
             }
+            Event::TableRestored => self.store_suspects_again(),
             Event::ClaimSubmitted(claim) => self.submit_claim(claim),
             Event::Transacted { shard, outcome } => self.transacted(shard, outcome),
             Event::Leave => {
@@ -147,6 +148,16 @@
         }
     }
 
+    /// Stores the suspect requests again whose owner this instance is. All instances know them, so each is written
+    /// once.
+    fn store_suspects_again(&mut self) {
+        let owns = |fingerprint| self.owner_of(fingerprint) == self.membership.me;
+        let own: Vec<(u64, u32)> = self.suspects.iter().filter(|(f, _)| owns(*f)).collect();
+        for (fingerprint, crashes) in own {
+            self.effects.push(Effect::StoreSuspect { fingerprint, crashes });
+        }
+    }
+
     fn configure(&mut self, document: Arc<Document>) {
         self.catalog = Arc::new(Catalog::new(document));
         let catalog = self.catalog.clone();
--- a/agateroute_core/tests/roster.rs
+++ b/agateroute_core/tests/roster.rs
@@ -12,6 +12,7 @@
         slots: 6,
         ready,
         start_ms: 1,
+        writes: 0,
     }
 }
 
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -320,6 +320,9 @@
     /// Identifies the list of backend servers that the caller has, 0 for none.
     #[prost(fixed64, tag = "2")]
     pub servers_seen: u64,
+    /// The era of the table service in which that version was read.
+    #[prost(uint64, tag = "3")]
+    pub document_era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchReply {
@@ -344,6 +347,12 @@
     /// The revision of the table service that the list corresponds to.
     #[prost(uint64, tag = "7")]
     pub servers_revision: u64,
+    /// The era of the table service in which the document was read.
+    #[prost(uint64, tag = "8")]
+    pub document_era: u64,
+    /// The era of the table service that the sender knows, plus one; 0 if it knows none.
+    #[prost(uint64, tag = "9")]
+    pub era: u64,
 }
 /// The reason why a permit was denied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/agateroute_storage/src/error.rs
+++ b/agateroute_storage/src/error.rs
@@ -32,6 +32,10 @@
     /// The requested changes are no longer stored, so the whole table must be read again.
     #[display("history gone")]
     Gone,
+    /// The service came back from a copy between the request and the response, or the response belongs to the
+    /// time before that. What it says may not hold any more.
+    #[display("the service was restored meanwhile")]
+    Superseded,
     /// The service responded with an error status; the text is the start of the body.
     #[display("status {_0}: {_1}")]
     Status(u16, String),
--- a/agateroute_storage/src/http.rs
+++ b/agateroute_storage/src/http.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::sync::watch;
 
 use crate::error::{Cause, PlatformError};
 
@@ -17,11 +18,18 @@
 /// A request whose body is in memory.
 pub type FullRequest = Request<Full<Bytes>>;
 
+/// Decodes the era of a service from the header fields of a response. It rises each time the service comes back
+/// from an older copy. `None` if the response does not say.
+pub type DecodeEra = fn(&HeaderMap) -> Option<u64>;
+
 /// A pooled HTTP client with a timeout for each call.
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
     timeout: Duration,
+    decode_era: DecodeEra,
+    /// The latest era of the service, shared by all clones.
+    era: watch::Sender<Option<u64>>,
 }
 
 impl Client {
@@ -31,12 +39,40 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
         let inner = legacy::Client::builder(TokioExecutor::new()).build(connector);
-        Client { inner, timeout }
+        Client { inner, timeout, decode_era: |_| None, era: watch::Sender::new(None) }
+    }
+
+    /// Returns a client that follows the era of the one service that it calls. Responses that are not entirely of
+    /// the latest era are errors.
+    pub fn with_eras(self, decode_era: DecodeEra) -> Client {
+        Client { decode_era, ..self }
+    }
+
+    /// The latest era of the service, `None` before the first response and for a service without eras.
+    pub fn era(&self) -> Option<u64> {
+        *self.era.borrow()
+    }
+
+    /// Waits for changes of the era.
+    pub fn watch_era(&self) -> watch::Receiver<Option<u64>> {
+        self.era.subscribe()
+    }
+
+    /// Records an era that a response or another instance has shown. Returns whether it is the latest.
+    pub fn observe_era(&self, era: u64) -> bool {
+        self.era.send_if_modified(|latest| {
+            let newer = latest.is_none_or(|known| known < era);
+            if newer {
+                *latest = Some(era);
+            }
+            newer
+        });
+        self.era() == Some(era)
     }
 
     /// Returns a client with another timeout that shares the connection pool.
     pub fn with_timeout(&self, timeout: Duration) -> Client {
-        Client { inner: self.inner.clone(), timeout }
+        Client { timeout, ..self.clone() }
     }
 
     /// Sends a request and reads the whole response. `step` and `peer` are used in errors.
@@ -55,10 +91,16 @@
     }
 
     async fn exchange(&self, request: FullRequest) -> Result<(StatusCode, Bytes), Cause> {
+        let requested_in = self.era();
         let response = self.inner.request(request).await.map_err(|e| {
             if e.is_connect() { Cause::Connect(e.to_string()) } else { Cause::Lost(e.to_string()) }
         })?;
         let status = response.status();
+        if let Some(era) = (self.decode_era)(response.headers())
+            && !(self.observe_era(era) && requested_in.is_none_or(|known| known == era))
+        {
+            return Err(Cause::Superseded);
+        }
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let collected = body.collect().await.map_err(|e| Cause::Lost(e.to_string()))?;
         Ok((status, collected.to_bytes()))
--- a/agaterouted/src/compose.rs
+++ b/agaterouted/src/compose.rs
@@ -130,6 +130,7 @@
             slots: self.slots,
             ready: true,
             start_ms: self.born,
+            writes: 0,
         }
     }
 }
--- a/agaterouted/src/declared.rs
+++ b/agaterouted/src/declared.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agateroute_adapter::Changes;
 use agateroute_adapter::deployment::OperatorDocument;
-use agateroute_adapter::{Changes, RowChange};
 use agateroute_core::Event;
+use agateroute_core::id::Millis;
 use agateroute_core::readers::Role;
+use agateroute_core::restore::DocumentVersion;
 use agateroute_storage::PlatformError;
 use agateroute_storage::error::Cause;
 use tokio_util::sync::CancellationToken;
@@ -15,6 +17,7 @@
 use crate::compose::{PeerDocument, compose, peer_listings};
 use crate::daemon::millis;
 use crate::readers::{self, FETCH_PAUSE};
+use crate::restore;
 use crate::route_instance::RouteInstance;
 use crate::source::{DependencyMonitor, cancelled_within};
 
@@ -28,6 +31,8 @@
 /// The time since the document was last read, in milliseconds, after which a failed read falls back to the
 /// snapshots of peers.
 const MAX_READ_AGE_MS: u64 = 1_200;
+/// The shortest pause between two reads, in milliseconds, while reads do not prove that the document is the newest.
+const MIN_UNSETTLED_PAUSE_MS: u64 = 100;
 
 /// Keeps the newest document active, until cancelled.
 pub async fn follow_document(instance: Arc<RouteInstance>, cancel: CancellationToken) {
@@ -58,13 +63,23 @@
     match instance.source.read_table(&instance.deployment, table).await {
         Ok(read) => {
             monitor.record_success();
+            restore::observe(instance);
             instance.daemon.apply(Event::TableReachable { reachable: true });
-            instance.source.lock().declared_revision = Some(read.revision);
-            if apply_document_row(instance, &read, key) {
+            {
+                let mut state = instance.source.lock();
+                state.declared_revision = Some(read.revision);
+                state.restores.record_revision(read.revision);
+            }
+            if apply_document_row(instance, requested_at, &read, key) {
                 instance.daemon.snapshot.record_document(requested_at, 0);
             }
-            millis(instance.bounds().configure_ms * REREAD_PERCENT / 100)
+            // A restored service may lack a version that peers still have.
+            if readers::is_behind(&instance.daemon) {
+                readers::fetch_all(instance).await;
+            }
+            reread_pause(instance)
         }
+        Err(PlatformError { cause: Cause::Superseded, .. }) => Duration::ZERO,
         Err(error) => {
             instance.daemon.apply(Event::TableReachable { reachable: false });
             let pause = monitor.record_failure(&error);
@@ -76,6 +91,15 @@
     }
 }
 
+/// The pause before the next read of the document. It is shorter while reads of a restored service prove nothing.
+fn reread_pause(instance: &RouteInstance) -> Duration {
+    let pause_ms = instance.bounds().configure_ms * REREAD_PERCENT / 100;
+    match instance.source.lock().restores.settles_in(boot_millis()) {
+        0 => millis(pause_ms),
+        left_ms => millis(left_ms.max(MIN_UNSETTLED_PAUSE_MS).min(pause_ms)),
+    }
+}
+
 /// Follows changes of the document while this instance is a follower, until cancelled. Its peers learn of a
 /// new version from the batches that it sends.
 pub async fn follow_changes(instance: Arc<RouteInstance>, cancel: CancellationToken) {
@@ -89,6 +113,7 @@
             }
             continue;
         };
+        let requested_at = boot_millis();
         let read = instance.source.read_changes(&instance.deployment, table, after, CHANGES_WAIT);
         let read = tokio::select! {
             () = cancel.cancelled() => return,
@@ -96,12 +121,13 @@
         };
         match read {
             Ok(changes) => {
-                apply_document_row(&instance, &changes, key);
+                restore::observe(&instance);
+                apply_document_row(&instance, requested_at, &changes, key);
                 let mut state = instance.source.lock();
                 state.declared_revision = state.declared_revision.max(Some(changes.revision));
             }
             // The next full read gives the revision to continue from.
-            Err(PlatformError { cause: Cause::Gone, .. }) => {
+            Err(PlatformError { cause: Cause::Gone | Cause::Superseded, .. }) => {
                 instance.source.lock().declared_revision = None;
             }
             Err(error) => {
@@ -114,15 +140,25 @@
     }
 }
 
-/// Activates the document among the rows, if it is newer than the active one. Returns whether the active
-/// document is at least as new as the rows.
-fn apply_document_row(instance: &RouteInstance, read: &Changes, key: &str) -> bool {
-    let row: Option<&RowChange> = read.rows.iter().rfind(|r| r.key == key);
-    let Some(value) = row.and_then(|r| r.value.as_ref()) else { return false };
+/// Activates the document among the rows, if it is newer than the active one. Returns whether the read proves
+/// that there is no newer one than is active then.
+fn apply_document_row(
+    instance: &RouteInstance,
+    requested_at: Millis,
+    read: &Changes,
+    key: &str,
+) -> bool {
+    let Some(row) = read.rows.iter().rfind(|r| r.key == key) else { return false };
+    let Some(value) = &row.value else { return false };
     match (instance.deployment.decode_document)(value) {
         Ok(declared) => {
-            apply_declared(instance, declared);
-            true
+            let era = instance.source.lock().restores.era();
+            let version = DocumentVersion { version: declared.version, era };
+            apply_declared(instance, declared, era);
+            let state = instance.source.lock();
+            let held = state.declared.version().unwrap_or(version);
+            let announced = instance.daemon.newest_version();
+            state.restores.proves_newest(requested_at, version, row.revision, held, announced)
         }
         Err(error) => {
             spdlog::error!("document_invalid", kv: { error: = error.as_str() });
@@ -131,9 +167,10 @@
     }
 }
 
-/// Activates a declared document, if it is newer than the active one.
-pub fn apply_declared(instance: &RouteInstance, declared: OperatorDocument) {
-    if instance.source.lock().declared.offer(declared.version, Arc::new(declared)) {
+/// Activates a declared document that was read in an era, if it is newer than the active one.
+pub fn apply_declared(instance: &RouteInstance, declared: OperatorDocument, era: u64) {
+    let version = DocumentVersion { version: declared.version, era };
+    if instance.source.lock().declared.offer(version, Arc::new(declared)) {
         rebuild_config(instance);
     }
 }
@@ -144,6 +181,7 @@
     let state = instance.source.lock();
     let Some(declared) = state.declared.get().cloned() else { return };
     let document = compose(&declared, &state.roster, &bounds);
+    let document_era = state.declared.version().map_or(0, |v| v.era);
     let json = serde_json::to_string(&PeerDocument::new(&declared));
     let listings = serde_json::to_string(&peer_listings(&state.roster));
     let servers = document.servers.len();
@@ -154,7 +192,7 @@
         instance.daemon.set_servers(document);
     }
     match (json, listings) {
-        (Ok(json), Ok(listings)) => instance.daemon.snapshot.set(json, listings),
+        (Ok(json), Ok(listings)) => instance.daemon.snapshot.set(json, document_era, listings),
         (Err(error), _) | (_, Err(error)) => {
             spdlog::error!("document_not_written", kv: { error: });
         }
--- a/agaterouted/src/discovery.rs
+++ b/agaterouted/src/discovery.rs
@@ -16,6 +16,7 @@
 use crate::daemon::millis;
 use crate::declared::rebuild_config;
 use crate::readers::{self, FETCH_PAUSE};
+use crate::restore;
 use crate::route_instance::RouteInstance;
 use crate::source::{DependencyMonitor, cancelled_within};
 
@@ -63,16 +64,19 @@
         let pause = match read {
             Ok(changes) => {
                 monitor.record_success();
+                restore::observe(&instance);
                 after = Some(changes.revision);
                 instance.source.lock().roster.service_answered(now);
                 apply_changes(&instance, now, &changes, revision.is_none());
-                instance.daemon.snapshot.record_servers(requested_at, 0, changes.revision);
+                if restore::knows_servers(&instance, requested_at) {
+                    instance.daemon.snapshot.record_servers(requested_at, 0, changes.revision);
+                }
                 match follows {
                     true => CHANGES_PAUSE,
                     false => millis(instance.bounds().drain_ms * REREAD_PERCENT / 100),
                 }
             }
-            Err(PlatformError { cause: Cause::Gone, .. }) => {
+            Err(PlatformError { cause: Cause::Gone | Cause::Superseded, .. }) => {
                 after = None;
                 Duration::ZERO
             }
--- a/agaterouted/src/follow.rs
+++ b/agaterouted/src/follow.rs
@@ -75,7 +75,7 @@
 /// Fetches the documents of linked peers and activates the newest.
 async fn fetch_from_peers(daemon: &Daemon, channels: &PeerChannels) {
     for address in daemon.peer_addresses() {
-        let request = FetchRequest { version: daemon.config().version, servers_seen: 0 };
+        let request = FetchRequest { version: daemon.config().version, ..FetchRequest::default() };
         let Some(reply) = channels.fetch(&address, request).await else { continue };
         if reply.document.is_empty() {
             continue;
--- a/agaterouted/src/instances.rs
+++ b/agaterouted/src/instances.rs
@@ -13,8 +13,9 @@
 use crate::clock::{boot_millis, unix_millis};
 use crate::daemon::Daemon;
 use crate::peers::maintain_link;
+use crate::restore;
 use crate::route_instance::RouteInstance;
-use crate::source::{DependencyMonitor, cancelled_within};
+use crate::source::DependencyMonitor;
 
 const INSTANCES_PARTITION: &str = "instances";
 const MAX_INSTANCES: usize = 500;
@@ -31,6 +32,10 @@
 struct InstanceRow {
     address: String,
     leaving: bool,
+    /// The era of the table service in which its writers have had the time to write again what it lost, as far as
+    /// the instance knows.
+    #[serde(default)]
+    settled_era: Option<u64>,
 }
 
 /// Writes the row of this instance and reads those of the others, until cancelled.
@@ -55,8 +60,10 @@
                 monitor.record_failure(&error);
             }
         }
-        if cancelled_within(&cancel, list_pause(daemon)).await {
-            return;
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            () = instance.announce_notify.notified() => announced = None,
+            () = tokio::time::sleep(list_pause(daemon)) => {}
         }
     }
 }
@@ -94,6 +101,9 @@
                 continue;
             }
         };
+        if let Some(era) = read.settled_era {
+            restore::confirm(instance, era);
+        }
         instances.push(ListedInstance { name: row.sort, leaving: read.leaving });
         if read.address != daemon.settings.peer && dialed.insert(read.address.clone(), ()).is_none()
         {
@@ -107,7 +117,8 @@
 async fn announce(instance: &RouteInstance, leaving: bool) -> bool {
     let daemon = &instance.daemon;
     let Some(table) = &daemon.table else { return false };
-    let value = InstanceRow { address: daemon.settings.peer.clone(), leaving };
+    let settled_era = restore::settled_era(instance);
+    let value = InstanceRow { address: daemon.settings.peer.clone(), leaving, settled_era };
     let row = Row {
         partition: INSTANCES_PARTITION.to_owned(),
         sort: daemon.identity.name.clone(),
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod readers;
 pub mod report;
 pub mod request_tracker;
+pub mod restore;
 pub mod route_instance;
 pub mod route_listener;
 pub mod run;
--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -17,6 +17,7 @@
 use crate::daemon::Daemon;
 use crate::declared::apply_declared;
 use crate::discovery::{apply_snapshot, servers_fresh};
+use crate::restore;
 use crate::route_instance::RouteInstance;
 
 /// The pause between two fetches from a reader.
@@ -56,7 +57,8 @@
     false
 }
 
-fn is_behind(daemon: &Daemon) -> bool {
+/// Whether a peer has announced a newer version than the active one.
+pub fn is_behind(daemon: &Daemon) -> bool {
     daemon.newest_version() > daemon.config().version
 }
 
@@ -80,12 +82,17 @@
     let request = FetchRequest {
         version: daemon.config().version,
         servers_seen: daemon.snapshot.servers_digest(),
+        document_era: daemon.snapshot.document_era(),
     };
     let Some(reply) = instance.source.channels.fetch(address, request).await else { return false };
+    if let Some(era) = reply.era.checked_sub(1) {
+        instance.source.observe_era(era);
+        restore::observe(instance);
+    }
     if !reply.document.is_empty()
         && let Some(document) = parse::<PeerDocument>(address, &reply.document)
     {
-        apply_declared(instance, document.into_declared(reply.version));
+        apply_declared(instance, document.into_declared(reply.version), reply.document_era);
     }
     let version = daemon.config().version;
     if let Some(age) = reply.reading_age.checked_sub(1)
@@ -94,7 +101,10 @@
         daemon.snapshot.record_document(requested_at, age);
         spdlog::log!(level, "reading_from_peer", kv: { peer: = address, version, age_ms = age });
     }
+    // The list of a peer that has not noticed a return of the service compares with nothing here.
+    let current = reply.era.checked_sub(1) == instance.source.era();
     if let Some(age) = reply.servers_age.checked_sub(1)
+        && current
         && apply_servers(instance, address, &reply)
     {
         daemon.snapshot.record_servers(requested_at, age, reply.servers_revision);
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::daemon::{Daemon, millis};
@@ -20,7 +21,9 @@
 use crate::source::Source;
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
-use crate::{declared, discovery, instances, jobs, log, peers, poll, route_listener as listener};
+use crate::{
+    declared, discovery, instances, jobs, log, peers, poll, restore, route_listener as listener,
+};
 
 /// The time limit of a write to the table service or a short read from it.
 const TABLE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -46,6 +49,8 @@
     pub source: Source,
     /// Connections to backend servers, with a pool of idle ones.
     pub upstream: Upstream,
+    /// Wakes the task that writes the row of this instance, so that it is written at once.
+    pub announce_notify: Notify,
     bounds: RwLock<Bounds>,
     stop_deadline: OnceLock<Instant>,
 }
@@ -100,7 +105,7 @@
     let ready_address = listen_address(&ready)?;
     let telemetry = Telemetry::start(&settings).map_err(at_step("telemetry"))?;
     let (jobs, job_queue) = tokio::sync::mpsc::unbounded_channel();
-    let client = Client::new(TABLE_TIMEOUT);
+    let client = Client::new(TABLE_TIMEOUT).with_eras(deployment.decode_era);
     let table = Table {
         adapter: deployment.rows,
         address: deployment.table_address.clone(),
@@ -111,6 +116,7 @@
         daemon: daemon.clone(),
         source: Source::new(client, &deployment),
         upstream: Upstream::default(),
+        announce_notify: Notify::new(),
         bounds: RwLock::new(deployment.bounds),
         stop_deadline: OnceLock::new(),
         deployment,
@@ -123,6 +129,7 @@
     tokio::spawn(declared::follow_document(instance.clone(), cancel.child_token()));
     tokio::spawn(declared::follow_changes(instance.clone(), cancel.child_token()));
     tokio::spawn(discovery::follow_servers(instance.clone(), cancel.child_token()));
+    tokio::spawn(restore::follow(instance.clone(), cancel.child_token()));
     tokio::spawn(instances::follow(instance.clone(), cancel.child_token()));
     tokio::spawn(listener::run(instance.clone(), callers, cancel.child_token()));
     tokio::spawn(listener::serve_pages(instance.clone(), ready, ready_page, cancel.child_token()));
--- a/agaterouted/src/snapshot.rs
+++ b/agaterouted/src/snapshot.rs
@@ -22,6 +22,10 @@
     servers_freshness: Freshness,
     /// The revision of the table service at which the servers were read.
     servers_revision: u64,
+    /// The era of the table service in which the document was read.
+    document_era: u64,
+    /// The era of the table service, `None` if it has none.
+    era: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -64,9 +68,28 @@
         self.lock().servers.as_ref().map_or(0, |s| s.digest)
     }
 
-    /// Sets the JSON of the document and of the backend servers.
-    pub fn set(&self, document: String, servers: String) {
+    /// Records a new era of the table service, whose revisions do not compare with those before. Returns the last
+    /// revision of the former one.
+    pub fn begin_era(&self, era: u64) -> u64 {
         let mut state = self.lock();
+        state.era = Some(era);
+        std::mem::take(&mut state.servers_revision)
+    }
+
+    /// The latest revision at which the servers were read in this era.
+    pub fn servers_revision(&self) -> u64 {
+        self.lock().servers_revision
+    }
+
+    /// The era in which the document was read.
+    pub fn document_era(&self) -> u64 {
+        self.lock().document_era
+    }
+
+    /// Sets the JSON of the document, the era in which it was read, and the JSON of the backend servers.
+    pub fn set(&self, document: String, document_era: u64, servers: String) {
+        let mut state = self.lock();
+        state.document_era = document_era;
         state.document = Some(document.into());
         let digest = id_of_bytes(servers.as_bytes());
         state.servers = Some(EncodedServers { text: servers.into(), digest });
@@ -84,7 +107,9 @@
         let state = self.lock();
         let age = |read: &Freshness| read.age(now).map_or(0, |age| age + 1);
         let document = match &state.document {
-            _ if version <= request.version => String::new(),
+            _ if (version, state.document_era) <= (request.version, request.document_era) => {
+                String::new()
+            }
             Some(text) => text.to_string(),
             None => encode()?,
         };
@@ -97,6 +122,8 @@
             servers_seen: state.servers.as_ref().map_or(0, |s| s.digest),
             servers_age: age(&state.servers_freshness),
             servers_revision: state.servers_revision,
+            document_era: state.document_era,
+            era: state.era.map_or(0, |era| era + 1),
         })
     }
 }
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -11,8 +11,11 @@
 use agateroute_adapter::{Changes, Deployment};
 use agateroute_config::route::Route;
 use agateroute_core::newest::Newest;
+use agateroute_core::restore::{DocumentVersion, Restores};
 use agateroute_core::roster::Roster;
+use agateroute_storage::error::Cause;
 use agateroute_storage::{Client, PlatformError};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::peers::PeerChannels;
@@ -41,13 +44,17 @@
 #[derive(Debug, Default)]
 pub struct SourceState {
     /// The newest document, whether read here or fetched from a peer.
-    pub declared: Newest<Arc<OperatorDocument>>,
+    pub declared: Newest<DocumentVersion, Arc<OperatorDocument>>,
     /// The revision of the table after which changes of the document are read, `None` before a full read.
     pub declared_revision: Option<u64>,
     /// The listed backend servers.
     pub roster: Roster,
     /// Whether the backend servers were read at least once.
     pub servers_read: bool,
+    /// The era of the table service and what reads in it prove.
+    pub restores: Restores,
+    /// The last revision of the servers in the former era.
+    pub former_revision: u64,
     /// The keys and revisions of invalid rows of the discovery table that were logged.
     pub rejected_rows: VecDeque<(String, u64)>,
 }
@@ -59,7 +66,10 @@
             channels: PeerChannels::default(),
             client,
             address: RwLock::new(deployment.table_address.clone()),
-            state: Mutex::default(),
+            state: Mutex::new(SourceState {
+                restores: Restores::new(deployment.first_start),
+                ..SourceState::default()
+            }),
         }
     }
 
@@ -78,6 +88,21 @@
         *self.address.write().unwrap_or_else(PoisonError::into_inner) = address.to_owned();
     }
 
+    /// The latest era of the table service that a response or a peer has shown.
+    pub fn era(&self) -> Option<u64> {
+        self.client.era()
+    }
+
+    /// Records an era that a peer knows, so that later responses of an earlier one are recognised.
+    pub fn observe_era(&self, era: u64) {
+        self.client.observe_era(era);
+    }
+
+    /// Waits for changes of the era.
+    pub fn watch_era(&self) -> watch::Receiver<Option<u64>> {
+        self.client.watch_era()
+    }
+
     /// The declared capacity of the backend servers of a route's first target.
     pub fn capacity(&self, route: &Route) -> Option<ServiceCapacity> {
         let state = self.lock();
@@ -99,11 +124,16 @@
     ) -> Result<Changes, PlatformError> {
         let mut all = Changes::default();
         let client = self.client.with_timeout(READ_TIMEOUT);
+        let mut era = None;
         for _ in 0..MAX_PAGES {
             let address = self.address();
             let after = all.rows.last().map_or("", |r| r.key.as_str());
             let request = (deployment.feed.encode_page)(&address, table, after);
             let (status, body) = client.call("table read", &address, request).await?;
+            if !all.rows.is_empty() && client.era() != era {
+                return Err(PlatformError::new("table read", &address, Cause::Superseded));
+            }
+            era = client.era();
             let page = (deployment.feed.decode)(status, &body)
                 .map_err(|cause| PlatformError::new("table read", &address, cause))?;
             // Later pages may be newer: changes after the oldest page's revision are read again.
--- a/agatestand/src/instance.rs
+++ b/agatestand/src/instance.rs
@@ -40,6 +40,8 @@
     pub store: SocketAddr,
     /// Time for which a withdrawn key may still be served, in milliseconds.
     pub revoke_ms: u64,
+    /// Whether the settings say that the whole system starts for the first time.
+    pub first_start: bool,
 }
 
 impl Launch {
@@ -47,7 +49,7 @@
     pub fn new(program: impl AsRef<Path>, store: SocketAddr, revoke_ms: u64) -> Launch {
         let number = INSTANCE_COUNTER.fetch_add(1, Ordering::Relaxed);
         let name = format!("routed-{}-{number}", std::process::id());
-        Launch { program: program.as_ref().to_owned(), name, store, revoke_ms }
+        Launch { program: program.as_ref().to_owned(), name, store, revoke_ms, first_start: true }
     }
 
     /// Returns the path of the settings file.
@@ -59,7 +61,7 @@
     pub fn write_settings(&self) -> std::io::Result<()> {
         std::fs::write(
             self.settings_file(),
-            standin::settings(&self.name, self.store, self.revoke_ms),
+            standin::settings(&self.name, self.store, self.revoke_ms, self.first_start),
         )
     }
 }
