--- a/agateroute_core/src/sse.rs
+++ b/agateroute_core/src/sse.rs
@@ -5,6 +5,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The longest event that is buffered, in bytes. A server in trouble may send one without end.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// The prefix of the line that holds the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -13,6 +16,8 @@
 pub struct EventSplitter {
     partial: BytesMut,
     events: u64,
+    /// The number of events that are more than comments.
+    with_content: u64,
     last_id: Option<u64>,
 }
 
@@ -29,6 +34,7 @@
                 self.last_id = Some(id);
             }
             self.events += 1;
+            self.with_content += u64::from(has_content(event));
             (end, at) = (next, next);
         }
         self.partial.split_to(end).freeze()
@@ -39,6 +45,17 @@
         std::mem::take(&mut self.partial).freeze()
     }
 
+    /// Whether the incomplete event is longer than any that is buffered.
+    pub fn is_too_long(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
+    /// Returns the number of complete events so far that are more than comments. Only these show that a stream
+    /// makes progress.
+    pub fn events_with_content(&self) -> u64 {
+        self.with_content
+    }
+
     /// Returns the number of complete events so far.
     pub fn events(&self) -> u64 {
         self.events
@@ -61,6 +78,11 @@
     }
 }
 
+/// Whether an event has a line that is not a comment, which begins with a colon.
+fn has_content(event: &[u8]) -> bool {
+    event.split(|b| *b == b'\n').any(|line| !matches!(line.first(), None | Some(b':' | b'\r')))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(ID_FIELD))?;
     std::str::from_utf8(line.trim_ascii()).ok()?.parse().ok()
--- a/agateroute_core/tests/sse.rs
+++ b/agateroute_core/tests/sse.rs
@@ -61,3 +61,22 @@
             assert_eq!([&passed[..], &rest[..]].concat(), text);
         });
 }
+
+#[test]
+fn endless_event_noticed() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"data: whole\n\ndata: ");
+    while !splitter.is_too_long() {
+        assert!(splitter.push(&[b'x'; 4_096]).is_empty());
+    }
+    assert_eq!(splitter.events(), 1);
+}
+
+#[test]
+fn comments_are_no_progress() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b": still here\n\n: still here\r\n\r\n");
+    assert_eq!((splitter.events(), splitter.events_with_content()), (2, 0));
+    splitter.push(b": first\nid: 1\ndata: x\n\n");
+    assert_eq!(splitter.events_with_content(), 1);
+}
--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -6,13 +6,13 @@
 use agateroute_core::event::ServerSignal;
 use bytes::Bytes;
 use http::{Request, StatusCode, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::daemon::ServerRef;
 use crate::route_instance::RouteInstance;
-use crate::serve::{MAX_ANSWER_BYTES, RouteCall};
+use crate::serve::RouteCall;
 use crate::upstream::{Connection, SendError};
 
 /// After a lost connection, a server that is crashing has closed its port within this time.
@@ -140,16 +140,19 @@
     if call.route.kind.streams() && head.status == StatusCode::OK {
         return Attempt::Streaming(Stream { head, body, connection, response_info });
     }
-    let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let read = instance.answer_memory.read(body);
     match tokio::time::timeout_at(call.answer_by, read).await {
         Ok(Ok(body)) => {
             if !response_info.closing {
                 instance.upstream.put_idle(connection, response_info.keep_alive);
             }
-            let (body, took) = (body.to_bytes(), started.elapsed());
+            let took = started.elapsed();
             Attempt::Answered(Answer { head, body, took, load: response_info.load })
         }
-        Ok(Err(_)) => Attempt::Lost(ServerSignal::None),
+        Ok(Err(error)) => {
+            spdlog::info!("answer_not_read", kv: { request: = &*call.id, error: });
+            Attempt::Lost(ServerSignal::None)
+        }
         Err(_) => Attempt::TimedOut,
     }
 }
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer_body::AnswerMemory;
 use crate::daemon::{Daemon, millis};
 use crate::run::{StartError, at_step};
 use crate::source::Source;
@@ -49,6 +50,8 @@
     pub source: Source,
     /// Connections to backend servers, with a pool of idle ones.
     pub upstream: Upstream,
+    /// The memory for answers that are being read.
+    pub answer_memory: AnswerMemory,
     /// Wakes the task that writes the row of this instance, so that it is written at once.
     pub announce_notify: Notify,
     bounds: RwLock<Bounds>,
@@ -116,6 +119,7 @@
         daemon: daemon.clone(),
         source: Source::new(client, &deployment),
         upstream: Upstream::default(),
+        answer_memory: AnswerMemory::default(),
         announce_notify: Notify::new(),
         bounds: RwLock::new(deployment.bounds),
         stop_deadline: OnceLock::new(),
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -33,8 +33,6 @@
 use crate::stream_relay::{self, StreamRequest};
 use crate::telemetry::extract;
 
-/// Answers other than streams are buffered up to this size, to see whether they are complete.
-pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// The final answer is sent this long before the caller stops waiting.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
 /// Longer timeouts of callers and routes are cut to a day, so that adding them can not overflow.
--- a/agaterouted/src/stream_relay.rs
+++ b/agaterouted/src/stream_relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use agateroute_adapter::server::CopyResult;
-use agateroute_config::route::RouteKind;
+use agateroute_config::route::{Route, RouteKind};
 use agateroute_core::Id;
 use agateroute_core::event::{End, RequestId, ServerSignal};
 use agateroute_core::sse::EventSplitter;
@@ -20,7 +20,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::attempt::{self, Attempt, Resume, Stream};
-use crate::daemon::{Admission, Permit, ServerRef};
+use crate::daemon::{Admission, Permit, ServerRef, millis};
 use crate::memory_copy::copy;
 use crate::request_tracker::{FinalOutcome, Tracker};
 use crate::route_instance::RouteInstance;
@@ -29,6 +29,12 @@
 
 /// Bounds the memory that a slow caller takes; the backend server has to wait beyond it.
 const MAX_QUEUED_FRAMES: usize = 8;
+/// The shortest time without an event after which a stream counts as stalled.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// A stream counts as stalled after this many times the target of its route.
+const STALL_TARGETS: u64 = 4;
+/// A stream counts as stalled after this many times the longest pause for which its route is still on time.
+const STALL_GAPS: u64 = 8;
 /// How long to wait for the last events of a generation that was stopped to move.
 const LAST_EVENTS_WAIT: Duration = Duration::from_millis(20);
 
@@ -162,7 +168,12 @@
         let mut copying: Option<CopyFuture> = None;
         let mut cut: Option<String> = None;
         let mut stopped_at: Option<Instant> = None;
+        let mut progress = (self.splitter.events_with_content(), Instant::now());
+        let stall_timeout = stall_timeout(&self.request.call.route);
         loop {
+            if progress.0 != self.splitter.events_with_content() {
+                progress = (self.splitter.events_with_content(), Instant::now());
+            }
             if let Some(at) = stopped_at
                 && (cut.is_some() || at.elapsed() >= LAST_EVENTS_WAIT)
                 && let Some(moving) = current.take()
@@ -187,6 +198,9 @@
                         if !self.forward(frame).await {
                             return StreamEnd::CallerGone;
                         }
+                        if self.splitter.is_too_long() {
+                            cut = Some("event too long".to_owned());
+                        }
                     }
                     Some(Err(error)) => cut = Some(error.to_string()),
                     None => return StreamEnd::Complete,
@@ -205,6 +219,9 @@
                     }
                 }
                 () = tokio::time::sleep(LAST_EVENTS_WAIT), if stopped_at.is_some() => {}
+                () = tokio::time::sleep_until(progress.1 + stall_timeout), if cut.is_none() => {
+                    cut = Some("stalled".to_owned());
+                }
                 () = tokio::time::sleep_until(self.request.call.answer_by) => {
                     return StreamEnd::TimedOut;
                 }
@@ -402,6 +419,14 @@
     }
 }
 
+/// The time without an event after which a stream of a route counts as stalled. Callers leave after this time, so
+/// a stream that is only slow is never cut.
+fn stall_timeout(route: &Route) -> Duration {
+    let targets = millis(route.target_ms.saturating_mul(STALL_TARGETS));
+    let gaps = millis(route.gap_ms.saturating_mul(STALL_GAPS));
+    MIN_STALL_TIMEOUT.max(targets).max(gaps)
+}
+
 /// Waits for a copy, or forever if none is in progress.
 async fn wait_for_copy(copying: &mut Option<CopyFuture>) -> CopyResult {
     match copying {
--- a/agaterouted/src/upstream.rs
+++ b/agaterouted/src/upstream.rs
@@ -30,6 +30,8 @@
 /// while the server closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 const MAX_IDLE_PER_SERVER: usize = 8;
+/// The longest head of an answer. A server in trouble may send one without end.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Why a request got no answer. Only after `Lost` may the server have run it.
 #[derive(Debug, derive_more::Display)]
@@ -169,7 +171,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("nodelay_not_set", kv: { address, error: });
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(SendError::NotSent)?;
     let address = address.to_owned();
     let peer = address.clone();
--- a/agatestand/src/instance.rs
+++ b/agatestand/src/instance.rs
@@ -175,6 +175,15 @@
         self.signal(Signal::TERM);
     }
 
+    /// Returns the peak of the resident memory of the process, in MiB.
+    pub fn peak_memory_mib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|p| p.split_whitespace().next()?.parse::<u64>().ok());
+        kib.unwrap_or(u64::MAX) / 1_024
+    }
+
     /// Returns whether the process exited successfully, or `None` while it runs.
     pub fn exit_success(&mut self) -> Option<bool> {
         self.child.try_wait().ok().flatten().map(|status| status.success())
