Finish the requests that are arriving when an instance stops, and never reuse a connection for a plain call

Two faults that befell operators of similar systems, each shown by a test that failed first: - tests/stop_load.rs, slow_body_arrives_whole: a request whose body was still arriving was cut off when the stopping instance had no other work. Plain calls of the product's own interface use a connection each. Ruled out: routes (the echoed request id finds the copy), requests on new connections up to the exit (8 callers in a loop until the process was gone: none that ran stayed without an answer).

--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -19,7 +19,7 @@
 use xitca_web::http::WebResponse;
 
 use crate::claims;
-use crate::client::client;
+use crate::client::single_use_client;
 use crate::daemon::{Admission, Daemon, Permit, ServerRef, millis};
 use crate::error::ApiError;
 use crate::front::{Caller, rank_targets};
@@ -228,7 +228,7 @@
     };
     let mut request = (HTTP.call)(&server.address, &outgoing);
     inject(&context, request.headers_mut());
-    let answer = client(connect).request(request);
+    let answer = single_use_client(connect).request(request);
     let result = tokio::time::timeout(millis(service.timeout_ms), answer).await;
     let attempt = classify(result);
     end_spans(&granted, &context, &attempt);
--- a/agaterouted/src/client.rs
+++ b/agaterouted/src/client.rs
@@ -23,21 +23,29 @@
 
 thread_local! {
     static CLIENT: OnceCell<HttpClient> = const { OnceCell::new() };
+    static SINGLE_USE_CLIENT: OnceCell<HttpClient> = const { OnceCell::new() };
 }
 
 /// Returns the client of this worker thread. Only the first call on each thread uses `connect_timeout`.
 pub fn client(connect_timeout: Duration) -> HttpClient {
-    CLIENT.with(|c| c.get_or_init(|| new_client(connect_timeout)).clone())
+    CLIENT.with(|c| c.get_or_init(|| new_client(connect_timeout, MAX_IDLE_PER_SERVER)).clone())
 }
 
-fn new_client(connect_timeout: Duration) -> HttpClient {
+/// Returns the client of this worker thread that uses each connection for one request. The answer of a plain server
+/// does not name its request, so on a connection in use again a late second copy of an answer would be taken for the
+/// answer to the next request.
+pub fn single_use_client(connect_timeout: Duration) -> HttpClient {
+    SINGLE_USE_CLIENT.with(|c| c.get_or_init(|| new_client(connect_timeout, 0)).clone())
+}
+
+fn new_client(connect_timeout: Duration, max_idle: usize) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(connect_timeout));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
-        .pool_max_idle_per_host(MAX_IDLE_PER_SERVER)
+        .pool_max_idle_per_host(max_idle)
         .build(connector)
 }
 
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -1,7 +1,7 @@
 //! An instance that serves routes on a platform: its state, startup and graceful stop.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
@@ -54,6 +54,10 @@
     pub answer_memory: AnswerMemory,
     /// Wakes the task that writes the row of this instance, so that it is written at once.
     pub announce_notify: Notify,
+    /// The requests of callers whose head has arrived and whose answer is not sent whole.
+    pub busy_requests: AtomicI64,
+    /// Cancelled when no more connections of callers are accepted.
+    pub draining: CancellationToken,
     bounds: RwLock<Bounds>,
     stop_deadline: OnceLock<Instant>,
 }
@@ -115,17 +119,19 @@
         client: client.clone(),
     };
     let daemon = Arc::new(Daemon::new(settings, telemetry, jobs).with_table(table));
+    let cancel = CancellationToken::new();
     let instance = Arc::new(RouteInstance {
         daemon: daemon.clone(),
         source: Source::new(client, &deployment),
         upstream: Upstream::default(),
         answer_memory: AnswerMemory::default(),
         announce_notify: Notify::new(),
+        busy_requests: AtomicI64::new(0),
+        draining: cancel.child_token(),
         bounds: RwLock::new(deployment.bounds),
         stop_deadline: OnceLock::new(),
         deployment,
     });
-    let cancel = CancellationToken::new();
     tokio::spawn(peers::serve(daemon.clone(), peer, cancel.child_token()));
     tokio::spawn(poll::send_ticks(daemon.clone(), cancel.child_token()));
     tokio::spawn(jobs::run(daemon.clone(), job_queue, cancel.child_token()));
@@ -135,7 +141,7 @@
     tokio::spawn(discovery::follow_servers(instance.clone(), cancel.child_token()));
     tokio::spawn(restore::follow(instance.clone(), cancel.child_token()));
     tokio::spawn(instances::follow(instance.clone(), cancel.child_token()));
-    tokio::spawn(listener::run(instance.clone(), callers, cancel.child_token()));
+    tokio::spawn(listener::run(instance.clone(), callers));
     tokio::spawn(listener::serve_pages(instance.clone(), ready, ready_page, cancel.child_token()));
     tokio::spawn(listener::serve_pages(instance.clone(), ops, ops_page, cancel.child_token()));
     tokio::spawn(sweep_connections(instance.clone(), cancel.child_token()));
@@ -231,6 +237,18 @@
     }
 }
 
+/// Accepts no more connections, closes idle ones, and waits for the requests that arrived meanwhile.
+async fn close_connections(instance: &RouteInstance, until: Instant) {
+    instance.draining.cancel();
+    loop {
+        tokio::time::sleep(LEAVE_POLL_INTERVAL).await;
+        let busy = instance.busy_requests.load(Ordering::Acquire) > 0;
+        if !busy || Instant::now() >= until {
+            return;
+        }
+    }
+}
+
 /// Waits for a stop signal, then serves until no request is left or the grace period ends.
 async fn wait_for_stop(instance: &RouteInstance) -> Result<(), StartError> {
     let mut terminate = signal_stream(SignalKind::terminate())?;
@@ -249,7 +267,7 @@
     let announcement = instances::announce_leaving(instance);
     let work = async {
         loop {
-            let done = daemon.active.load(Ordering::Acquire) <= 0;
+            let done = instance.busy_requests.load(Ordering::Acquire) <= 0;
             if stop_time.elapsed() >= max_time || (done && stop_time.elapsed() >= MIN_LEAVE_TIME) {
                 return;
             }
@@ -257,6 +275,7 @@
         }
     };
     tokio::join!(work, announcement);
+    close_connections(instance, stop_time + max_time).await;
     let active = daemon.active.load(Ordering::Acquire);
     spdlog::info!("work_ended", kv: { active, after_ms = stop_time.elapsed().as_millis() as u64 });
     Ok(())
--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -6,7 +6,7 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -48,11 +48,11 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Accepts connections of callers and serves each in its own task, until cancelled.
-pub async fn run(instance: Arc<RouteInstance>, listener: TcpListener, cancel: CancellationToken) {
+/// Accepts connections of callers and serves each in its own task, until the instance is draining.
+pub async fn run(instance: Arc<RouteInstance>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
-            () = cancel.cancelled() => return,
+            () = instance.draining.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
@@ -128,8 +128,13 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(io, service_fn(handler));
     let mut served = std::pin::pin!(served);
+    let mut draining = false;
     loop {
         tokio::select! {
+            () = instance.draining.cancelled(), if !draining => {
+                draining = true;
+                served.as_mut().graceful_shutdown();
+            }
             ended = served.as_mut() => {
                 if let Err(error) = ended {
                     spdlog::debug!("caller_connection_ended", kv: { error: });
@@ -152,22 +157,22 @@
     request: Request<Incoming>,
 ) -> Result<Response<TrackedBody>, Infallible> {
     activity.request_started();
-    let guard = BusyGuard { activity, ended: AtomicBool::new(false) };
+    instance.busy_requests.fetch_add(1, Ordering::AcqRel);
+    let guard = BusyGuard { instance: instance.clone(), activity };
     let response = serve::handle(instance, request).await;
     Ok(response.map(|body| TrackedBody { body, guard }))
 }
 
 /// Marks a connection as idle when its response is complete or dropped.
 struct BusyGuard {
+    instance: Arc<RouteInstance>,
     activity: Arc<ConnectionActivity>,
-    ended: AtomicBool,
 }
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        if !self.ended.swap(true, Ordering::Relaxed) {
-            self.activity.request_ended();
-        }
+        self.instance.busy_requests.fetch_sub(1, Ordering::AcqRel);
+        self.activity.request_ended();
     }
 }
 
--- /dev/null
+++ b/agaterouted/tests/stop_load.rs
@@ -0,0 +1,100 @@
+//! An instance stops while callers go on sending. Guards against requests that were just accepted and are cut off
+//! without an answer.
+
+mod platform_fixture;
+
+use std::time::Duration;
+
+use agateroute_standin as standin;
+use agatestand::instance::{Instance, eventually_some};
+use futures_util::future::join_all;
+use http::StatusCode;
+use platform_fixture::{TestPlatform, start_platform};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Callers that send one request after the other, each on a new connection.
+const CALLERS: usize = 8;
+/// The length of a request body that arrives byte by byte, for longer than a stopping instance waits for others.
+const BODY_BYTES: usize = 50;
+const BYTE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Sends a request on a connection of its own. Returns whether it was written whole, and the answer.
+async fn exchange(address: &str, id: &str) -> (bool, String) {
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return (false, String::new());
+    };
+    let request = format!(
+        "POST /order/ HTTP/1.1\r\nhost: {}\r\n{}: {id}\r\nauthorization: {}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+        standin::HOST,
+        standin::REQUEST_ID_HEADER,
+        standin::authorization("yew-key"),
+    );
+    if stream.write_all(request.as_bytes()).await.is_err() {
+        return (false, String::new());
+    }
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    (true, String::from_utf8_lossy(&answer).into_owned())
+}
+
+/// Sends requests until the instance refuses connections. Returns the ids of those without a whole answer.
+async fn keep_sending(address: &str, caller: usize) -> Vec<String> {
+    let mut unanswered = Vec::new();
+    for number in 0.. {
+        let id = format!("stop-{caller}-{number}");
+        match exchange(address, &id).await {
+            (false, _) => break,
+            (true, answer) if answer.is_empty() => unanswered.push(id),
+            (true, answer) => assert!(answer.contains(&id), "{id}: {answer}"),
+        }
+    }
+    unanswered
+}
+
+async fn stop(platform: &TestPlatform, instance: &mut Instance) -> bool {
+    eventually_some("callers are served", async || {
+        (platform.plain[0].runs().len() > 4 * CALLERS).then_some(())
+    })
+    .await;
+    instance.terminate();
+    eventually_some("the instance stops", async || instance.exit_success()).await
+}
+
+#[tokio::test]
+async fn requests_until_the_end() {
+    let platform = start_platform(1, 0, 0).await;
+    let mut instance = platform.start_instance(5_000).await;
+    let address = instance.listen.clone();
+    let callers = join_all((0..CALLERS).map(|caller| keep_sending(&address, caller)));
+    let (unanswered, exited) = tokio::join!(callers, stop(&platform, &mut instance));
+    assert!(exited);
+    let runs = platform.plain[0].runs();
+    for id in unanswered.into_iter().flatten() {
+        assert!(!runs.iter().any(|r| r.id == id), "{id} ran, and its caller got no answer");
+    }
+}
+
+#[tokio::test]
+async fn slow_body_arrives_whole() {
+    let platform = start_platform(1, 0, 0).await;
+    let mut instance = platform.start_instance(5_000).await;
+    let mut stream = TcpStream::connect(&instance.listen).await.expect("a connection");
+    let head = format!(
+        "POST /order/ HTTP/1.1\r\nhost: {}\r\n{}: slow\r\nauthorization: {}\r\ncontent-length: {BODY_BYTES}\r\nconnection: close\r\n\r\n",
+        standin::HOST,
+        standin::REQUEST_ID_HEADER,
+        standin::authorization("yew-key"),
+    );
+    stream.write_all(head.as_bytes()).await.expect("the head is sent");
+    instance.terminate();
+    for _ in 0..BODY_BYTES {
+        tokio::time::sleep(BYTE_INTERVAL).await;
+        stream.write_all(b"x").await.expect("a byte is sent");
+    }
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.starts_with(&format!("HTTP/1.1 {}", StatusCode::OK)), "{answer}");
+    assert!(eventually_some("the instance stops", async || instance.exit_success()).await);
+}
--- a/agatestand/src/fault_plan.rs
+++ b/agatestand/src/fault_plan.rs
@@ -3,10 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-use agateroute_standin::store::StoreFault;
+use agateroute_standin::store::{Copy, StoreFault};
 use agateroute_standin::{self as standin, Behaviour};
-use rand::Rng;
 use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
@@ -28,6 +28,17 @@
 /// Time for which a server still serves after it announced that it leaves.
 const LEAVE_NOTICE: Duration = Duration::from_millis(3_500);
 
+/// Upper bound for the age of the copy from which the table service comes back, and for its absence.
+const MAX_LOST_MS: u64 = 4_000;
+const MAX_AWAY_MS: u64 = 800;
+/// Upper bound for the time within which writers write again what a restored table service lost.
+const MAX_REWRITE_MS: u64 = 1_600;
+/// One of this many injections is followed by a further fault of [`FaultKind::FURTHER`].
+const FURTHER_SHARE: u32 = 4;
+/// Stream of the generator that draws further faults. The draws of all others do not depend on them, so a seed that
+/// failed before there were further faults still injects the same ones.
+const FURTHER_STREAM: u64 = 1;
+
 /// Action that ends a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Undo {
@@ -41,6 +52,14 @@
     Link(usize),
     /// End the fault of the table service.
     Store,
+    /// Bring the table service back from the copy.
+    Restore,
+    /// Write the newest document again.
+    Republish,
+    /// Write the entry of a server again, or remove it again.
+    Relist(usize),
+    /// Remove the entries of servers that have ended.
+    Unlist,
     /// End the faults of a server and of its link.
     Server(usize),
     /// Replace a server; with `true`, its address then leads to a server of another service.
@@ -60,9 +79,12 @@
     Misbehave,
     Leave,
     Crash,
+    Restore,
 }
 
 impl FaultKind {
+    /// Kinds that every soak may inject beside its own.
+    const FURTHER: [FaultKind; 1] = [FaultKind::Restore];
     const KINDS: [FaultKind; 10] = [
         FaultKind::Kill,
         FaultKind::KillAll,
@@ -88,15 +110,30 @@
     pub pending: Vec<(Instant, Undo)>,
     /// Number of injected faults by name, for the report.
     pub injected: Vec<(&'static str, u32)>,
+    further_rng: ChaCha8Rng,
+    /// Content from which the table service comes back.
+    copy: Option<Copy>,
+    /// Servers that are leaving, and whether their entry was removed without notice.
+    leaving: Vec<(usize, bool)>,
 }
 
 impl FaultPlan {
     /// Draws the kinds of faults and the bound of their duration.
-    pub fn new(rng: &mut ChaCha8Rng) -> FaultPlan {
+    pub fn new(rng: &mut ChaCha8Rng, seed: u64) -> FaultPlan {
+        let mut further_rng = ChaCha8Rng::seed_from_u64(seed);
+        further_rng.set_stream(FURTHER_STREAM);
         let count = rng.random_range(1..=MAX_KINDS);
         let kinds = FaultKind::KINDS.choose_multiple(rng, count).copied().collect();
         let max_duration_ms = MAX_DURATIONS_MS[rng.random_range(0..MAX_DURATIONS_MS.len())];
-        FaultPlan { kinds, max_duration_ms, pending: Vec::new(), injected: Vec::new() }
+        FaultPlan {
+            kinds,
+            max_duration_ms,
+            pending: Vec::new(),
+            injected: Vec::new(),
+            further_rng,
+            copy: None,
+            leaving: Vec::new(),
+        }
     }
 
     fn schedule_undo(&mut self, after: Duration, undo: Undo) {
@@ -151,6 +188,53 @@
             FaultKind::Misbehave => self.fault_server(testbed, backend, time, rng),
             FaultKind::Leave => self.leave(testbed, backend, rng.random()),
             FaultKind::Crash => self.crash(testbed, backend, time, rng.random()),
+            FaultKind::Restore => self.restore(testbed),
+        }
+        if self.further_rng.random_ratio(1, FURTHER_SHARE) {
+            match FaultKind::FURTHER[self.further_rng.random_range(0..FaultKind::FURTHER.len())] {
+                FaultKind::Restore => self.restore(testbed),
+                other => unreachable!("{other:?} is no further fault"),
+            }
+        }
+    }
+
+    /// Copies the content of the table service, and brings it back from that copy later. What was written meanwhile
+    /// is then written again, not all at once.
+    fn restore(&mut self, testbed: &mut Testbed) {
+        if self.copy.is_some() || self.pending.iter().any(|(_, u)| *u == Undo::Store) {
+            return;
+        }
+        self.count_fault("table service restored");
+        self.copy = Some(testbed.store.copy());
+        let lost_ms = self.further_rng.random_range(0..MAX_LOST_MS);
+        self.schedule_undo(Duration::from_millis(lost_ms), Undo::Restore);
+    }
+
+    /// Restores the copy and schedules what operator and servers write again.
+    fn apply_restore(&mut self, testbed: &mut Testbed) {
+        let Some(copy) = self.copy.take() else { return };
+        testbed.shared.checker().record_fault_start(Part::Store);
+        testbed.store.set_fault(StoreFault::Overloaded);
+        testbed.store.restore(&copy, 1);
+        let away_ms = self.further_rng.random_range(0..MAX_AWAY_MS);
+        self.schedule_undo(Duration::from_millis(away_ms), Undo::Store);
+        let rewrite = |plan: &mut FaultPlan, undo| {
+            let after_ms = away_ms + plan.further_rng.random_range(0..MAX_REWRITE_MS);
+            plan.schedule_undo(Duration::from_millis(after_ms), undo);
+        };
+        rewrite(self, Undo::Republish);
+        (0..testbed.backends.len()).for_each(|backend| rewrite(self, Undo::Relist(backend)));
+        self.schedule_undo(Duration::from_millis(away_ms + MAX_REWRITE_MS), Undo::Unlist);
+    }
+
+    /// Writes the entry of a server as it is now, after the table service lost it.
+    fn relist(&self, testbed: &Testbed, backend: usize) {
+        let server = &testbed.backends[backend].server;
+        match self.leaving.iter().find(|(leaving, _)| *leaving == backend) {
+            Some((_, true)) => standin::unlist(&testbed.store, &server.name),
+            Some((_, false)) => server.list_draining(&testbed.store),
+            None if server.crashed() => {}
+            None => server.list_ready(&testbed.store),
         }
     }
 
@@ -255,6 +339,7 @@
             false => server.list_draining(&testbed.store),
         }
         testbed.shared.checker().record_leaving(&server.name);
+        self.leaving.push((backend, silent));
         self.schedule_undo(LEAVE_NOTICE, Undo::Replace(backend, false));
     }
 
@@ -271,13 +356,17 @@
     /// Ends the faults that are due, or all of them.
     pub async fn undo(&mut self, testbed: &mut Testbed, all: bool) -> Result<(), String> {
         let now = Instant::now();
-        let due = |at: &Instant| all || *at <= now;
-        let (due, kept): (Vec<_>, Vec<_>) = self.pending.drain(..).partition(|(at, _)| due(at));
-        self.pending = kept;
-        for (_, undo) in due {
-            self.apply_undo(testbed, undo).await?;
+        loop {
+            let due = |at: &Instant| all || *at <= now;
+            let (due, kept): (Vec<_>, Vec<_>) = self.pending.drain(..).partition(|(at, _)| due(at));
+            self.pending = kept;
+            if due.is_empty() {
+                return Ok(());
+            }
+            for (_, undo) in due {
+                self.apply_undo(testbed, undo).await?;
+            }
         }
-        Ok(())
     }
 
     async fn apply_undo(&mut self, testbed: &mut Testbed, undo: Undo) -> Result<(), String> {
@@ -309,6 +398,15 @@
                 testbed.store.set_fault(StoreFault::None);
                 testbed.shared.checker().record_fault_end(Part::Store);
             }
+            Undo::Restore => self.apply_restore(testbed),
+            Undo::Republish => testbed.publish_again(),
+            Undo::Relist(backend) => self.relist(testbed, backend),
+            Undo::Unlist => {
+                let current =
+                    |name: &String| testbed.backends.iter().any(|b| b.server.name == *name);
+                let ended = testbed.store.server_names().into_iter().filter(|name| !current(name));
+                ended.for_each(|name| standin::unlist(&testbed.store, &name));
+            }
             Undo::Server(backend) => {
                 testbed.backends[backend].server.set_behaviour(Behaviour::Serves);
                 testbed.backends[backend].link.set(Faults::default());
@@ -333,6 +431,7 @@
             (old.server.service.clone(), old.server.name.clone(), old.link.clone())
         };
         testbed.check_backend_runs(&testbed.backends[backend]);
+        self.leaving.retain(|(leaving, _)| *leaving != backend);
         standin::unlist(&testbed.store, &name);
         let new = testbed.start_backend(&service, "127.0.0.1:0").await?;
         if reuse && let Some(other) = testbed.backends.iter().find(|p| p.server.service != service)
--- a/agatestand/src/soak.rs
+++ b/agatestand/src/soak.rs
@@ -85,7 +85,7 @@
         tasks.spawn(run_caller(caller_state.clone(), options.seed, caller, stop_callers.clone()));
     }
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-    let mut plan = FaultPlan::new(&mut rng);
+    let mut plan = FaultPlan::new(&mut rng, options.seed);
     inject_faults(&mut testbed, &mut plan, &mut rng, options.duration).await?;
     plan.undo(&mut testbed, true).await?;
     wait_until_serving(&mut testbed, "serving after all faults").await;
--- a/agatestand/src/testbed.rs
+++ b/agatestand/src/testbed.rs
@@ -56,6 +56,8 @@
     pub logs: Vec<String>,
     seed: u64,
     version: u64,
+    /// Keys of the organisation `box` in the newest version of the document.
+    keys: Vec<String>,
     servers: u64,
     cancel: CancellationToken,
 }
@@ -77,8 +79,11 @@
         let mut slots = Vec::new();
         for _ in 0..instances {
             let table_link = proxy(store.address, cancel).await?;
-            let launch =
-                Launch::new(program, table_link.address, REVOKE_TIMEOUT.as_millis() as u64);
+            let launch = Launch {
+                // The table service may have come back from a copy while no instance was running.
+                first_start: false,
+                ..Launch::new(program, table_link.address, REVOKE_TIMEOUT.as_millis() as u64)
+            };
             let (caller_link, peer_link) =
                 (proxy(UNUSED_ADDRESS, cancel).await?, proxy(UNUSED_ADDRESS, cancel).await?);
             slots.push(Slot { instance: None, caller_link, table_link, peer_link, launch });
@@ -92,8 +97,9 @@
         shared.checker().skip_timing = !options.check_timing;
         let cancel = cancel.clone();
         let (backends, logs) = (Vec::new(), Vec::new());
+        let (version, servers, keys) = (0, 0, Vec::new());
         let mut testbed =
-            Testbed { store, slots, backends, shared, logs, seed, version: 0, servers: 0, cancel };
+            Testbed { store, slots, backends, shared, logs, seed, version, keys, servers, cancel };
         testbed.shared.checker().keys.push(Key {
             secret: PERMANENT_KEY.to_owned(),
             organisation: "yew",
@@ -136,6 +142,7 @@
         let new_key = format!("box-key-{}", self.version);
         let keys: Vec<String> = live_keys.iter().cloned().chain([new_key.clone()]).collect();
         standin::publish_keys(&self.store, self.version, &keys);
+        self.keys = keys;
         let now = std::time::Instant::now();
         let mut checker = self.shared.checker();
         for key in checker.keys.iter_mut().skip(1) {
@@ -151,6 +158,11 @@
         });
     }
 
+    /// Publishes the newest version once more, as an operator does whose write was lost.
+    pub fn publish_again(&self) {
+        standin::publish_keys(&self.store, self.version, &self.keys);
+    }
+
     /// Starts an instance in a slot and directs its callers to it.
     pub async fn start(&mut self, slot: usize) -> Result<(), String> {
         let entry = &mut self.slots[slot];
