End generations that only send bytes, and bound one event, on the product's own interface

Cause: the silence of a generation counted from the last event of any kind, so an engine that sent comments or repeated chunks was never given up, and one event without end was buffered (218,868 KiB with one generation). Change: silence counts from the last chunk that was forwarded; events are bounded as on routes.

--- a/agaterouted/src/stream.rs
+++ b/agaterouted/src/stream.rs
@@ -7,14 +7,16 @@
 
 use agateroute_core::event::{End, ServerSignal};
 use agateroute_core::relay::{Action, Relay, StreamInput};
+use agateroute_core::sse::EventSplitter;
 use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::stream::BoxStream;
 use futures_util::{FutureExt, StreamExt};
 use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyDataStream, BodyExt, Limited};
 use hyper::body::Incoming;
 use opentelemetry::Context;
 use opentelemetry::trace::SpanKind;
-use sse_stream::{Sse, SseStream};
+use sse_stream::{Sse, SseByteStream};
 
 use crate::client::{HttpClient, client, is_connection_refused};
 use crate::daemon::{Daemon, Permit, ServerRef, millis};
@@ -64,6 +66,8 @@
     relay: Relay,
     upstream: Option<EventStream>,
     silence_timeout: Duration,
+    /// When the last chunk was forwarded, or the generation was opened or resumed.
+    progress_at: Instant,
     opened: Instant,
     reported_tokens: u64,
     usage: Option<Usage>,
@@ -73,7 +77,23 @@
     done: bool,
 }
 
-struct EventStream(SseStream<Incoming>);
+struct EventStream(SseByteStream<BoxStream<'static, std::io::Result<Bytes>>>);
+
+impl EventStream {
+    /// Reads the events of an answer. An event that is too long is an error, since an engine in trouble may send one
+    /// without end.
+    fn new(body: Incoming) -> EventStream {
+        let mut splitter = EventSplitter::default();
+        let events = BodyDataStream::new(body).map(move |data| {
+            let events = splitter.push(&data.map_err(std::io::Error::other)?);
+            match splitter.is_too_long() {
+                true => Err(std::io::Error::other("event too long")),
+                false => Ok(events),
+            }
+        });
+        EventStream(SseByteStream::new(events.boxed()))
+    }
+}
 
 impl std::fmt::Debug for EventStream {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -146,8 +166,9 @@
             server: server.clone(),
             http,
             relay: Relay::new(start_request.generation, routing.resumes),
-            upstream: Some(EventStream(SseStream::new(response.into_body()))),
+            upstream: Some(EventStream::new(response.into_body())),
             silence_timeout: millis(routing.silence_ms),
+            progress_at: Instant::now(),
             opened: Instant::now(),
             reported_tokens: 0,
             usage: None,
@@ -176,7 +197,9 @@
     /// Returns the next chunk, or how the generation ended.
     pub async fn next(&mut self) -> Output {
         loop {
-            let event = tokio::time::timeout(self.silence_timeout, self.next_event()).await;
+            // Comments and repeated chunks are no progress.
+            let silent_at = self.progress_at + self.silence_timeout;
+            let event = tokio::time::timeout_at(silent_at.into(), self.next_event()).await;
             let data = match event {
                 Ok(Some(Ok(sse))) => match sse.data {
                     Some(data) => data,
@@ -186,7 +209,10 @@
             };
             let (action, count) = self.check_event(&data);
             match action {
-                Action::Forward => return Output::Chunk(data, count),
+                Action::Forward => {
+                    self.progress_at = Instant::now();
+                    return Output::Chunk(data, count);
+                }
                 Action::Drop => {}
                 Action::Finish => {
                     self.done = true;
@@ -275,7 +301,8 @@
             let Ok(answer) = answer else { return false };
             match answer.map(|r| (r.status(), r)) {
                 Ok((StatusCode::OK, response)) => {
-                    self.upstream = Some(EventStream(SseStream::new(response.into_body())));
+                    self.upstream = Some(EventStream::new(response.into_body()));
+                    self.progress_at = Instant::now();
                     return true;
                 }
                 Ok((StatusCode::NOT_FOUND | StatusCode::GONE, _)) => {
