Mend the faults noted in reading, and start loops again that fail

All peer channels were dropped at 64; now one. The queue metric counted every attempt; now the first. Errors of undecodable objects and unknown ranks of routes name the object store and the route. - An instance that lost the table service asked all its peers one after the other; now four drawn at random. - A loop that ended by an unexpected error left an instance that looked alive (supervisor.rs).

--- a/agateroute_config/src/check.rs
+++ b/agateroute_config/src/check.rs
@@ -214,7 +214,7 @@
 fn check_routes(c: &mut Checker<'_>, document: &Document) {
     for (i, route) in document.routes.iter().enumerate() {
         let at = format!("/routes/{i}");
-        check_rank(c, document, &format!("{at}/rank"), &route.name, &route.rank);
+        check_rank(c, document, &format!("{at}/rank"), ("route", &route.name), &route.rank);
         for (j, target) in route.targets.iter().enumerate() {
             let name = &target.service;
             if document.service(name).is_none() && document.model(name).is_none() {
@@ -244,9 +244,17 @@
     }
 }
 
-fn check_rank(c: &mut Checker<'_>, document: &Document, pointer: &str, kind: &str, rank: &str) {
+/// Checks that a rank exists. `user` says what names it: a route or a request kind, and its name.
+fn check_rank(
+    c: &mut Checker<'_>,
+    document: &Document,
+    pointer: &str,
+    user: (&str, &str),
+    rank: &str,
+) {
     if document.rank_index(rank).is_none() {
-        let message = format!("rank {rank:?} of request kind {kind:?} does not exist in ranks");
+        let (what, name) = user;
+        let message = format!("rank {rank:?} of {what} {name:?} does not exist in ranks");
         c.report(pointer, message, "declare the rank or name another");
     }
 }
@@ -257,7 +265,13 @@
         c.check_dups(&format!("{at}/kinds"), "kind", model.kinds.iter().map(|k| k.name.as_str()));
         c.check_dups(&format!("{at}/adapters"), "adapter", model.adapters.iter().map(|a| &*a.name));
         for (j, kind) in model.kinds.iter().enumerate() {
-            check_rank(c, document, &format!("{at}/kinds/{j}/rank"), &kind.name, &kind.rank);
+            check_rank(
+                c,
+                document,
+                &format!("{at}/kinds/{j}/rank"),
+                ("request kind", &kind.name),
+                &kind.rank,
+            );
         }
         if model.name.contains(':') {
             let message = format!("model name {:?} contains a colon", model.name);
@@ -274,7 +288,13 @@
     for (i, service) in document.services.iter().enumerate() {
         let at = format!("/services/{i}");
         for (j, call) in service.calls.iter().enumerate() {
-            check_rank(c, document, &format!("{at}/calls/{j}/rank"), &call.kind, &call.rank);
+            check_rank(
+                c,
+                document,
+                &format!("{at}/calls/{j}/rank"),
+                ("request kind", &call.kind),
+                &call.rank,
+            );
         }
         if service.name.contains('/') {
             let message = format!("service name {:?} contains a slash", service.name);
--- a/agateroute_core/src/controller.rs
+++ b/agateroute_core/src/controller.rs
@@ -291,7 +291,7 @@
             Capacity::Slots { .. } => {
                 if release.whole {
                     self.limit.record_answer(ctx.now, release.took_ms, running);
-                } else {
+                } else if !release.cancelled {
                     self.limit.shrink(ctx.now, release.took_ms);
                 }
                 None
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -62,6 +62,8 @@
         pub spec: RequestSpec,
         /// The backend server that runs the request.
         pub server: Id,
+        /// When the permit was granted.
+        pub started_at: Millis,
         /// The instance that granted the permit, or has taken the server over since.
         pub owner: Id,
         /// The number of tokens generated so far.
@@ -280,6 +282,7 @@
         }
         self.prefixes.record(pending.spec.prefix, server, self.now);
         let running = Running {
+            started_at: self.now,
             spec: pending.spec,
             server,
             owner: peer,
@@ -389,17 +392,19 @@
     pub(crate) fn ended(&mut self, request: RequestId, end: &End) {
         let Some(mut running) = self.entry.running.remove(&request) else { return };
         self.forget_move(request);
+        let elapsed_ms = self.now.saturating_sub(running.started_at) as u32;
         let (tokens, whole, took_ms) = match end {
             End::Completed { tokens, took_ms } => (*tokens, true, *took_ms),
-            End::Lost { tokens, .. } | End::Cancelled { tokens } => (*tokens, false, 0),
+            End::Lost { tokens, .. } | End::Cancelled { tokens } => (*tokens, false, elapsed_ms),
             End::NotStarted { .. } => (0, false, 0),
         };
+        let cancelled = matches!(end, End::Cancelled { .. });
         let server = running.server;
         let step = self.pressure_step(server);
         self.health.sub_pressure(server, step);
         let body = match end {
             End::NotStarted { .. } => Body::Withdraw(Withdraw { request, server }),
-            _ => Body::Release(Release { request, server, tokens, whole, took_ms }),
+            _ => Body::Release(Release { request, server, tokens, whole, took_ms, cancelled }),
         };
         self.send(running.owner, body);
         match end {
@@ -428,7 +433,7 @@
     pub(crate) fn release_permit(&mut self, request: RequestId) {
         let Some(running) = self.entry.running.remove(&request) else { return };
         let (server, tokens) = (running.server, running.tokens);
-        let release = Release { request, server, tokens, whole: false, took_ms: 0 };
+        let release = Release { request, server, tokens, ..Release::default() };
         self.send(running.owner, Body::Release(release));
     }
 
--- a/agateroute_core/src/retry.rs
+++ b/agateroute_core/src/retry.rs
@@ -63,9 +63,10 @@
     /// Takes one retry from the budget. Returns false if none is left.
     pub fn try_spend(&mut self, target: Id, now: Millis, allowance: Allowance) -> bool {
         let window = self.targets.entry(target, Window::default);
-        window.current_part(now, allowance);
-        // The oldest part may be outside the window, so its requests earn nothing.
-        let arrivals: u32 = window.parts.iter().skip(1).map(|p| p.arrivals).sum();
+        let current = window.current_part(now, allowance).index;
+        // The oldest part may be partly outside the window, so its requests earn nothing.
+        let inside = window.parts.iter().filter(|p| p.index + WINDOW_PARTS > current);
+        let arrivals: u32 = inside.map(|p| p.arrivals).sum();
         let retries: u32 = window.parts.iter().map(|p| p.retries).sum();
         let earned = f64::from(arrivals) * f64::from(allowance.percent) / 100.0;
         let slack = f64::from(allowance.slack) / f64::from(allowance.instances.max(1));
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -53,7 +53,8 @@
     pub suspects: Suspects,
     /// The live migrations of generations and the queues for copy slots.
     pub migration: Migration,
-    pub(crate) health: HealthTable,
+    /// Load and recent faults of the backend servers, as far as this instance knows.
+    pub health: HealthTable,
     pub(crate) prefixes: Prefixes,
     pub(crate) budget: RetryBudget,
     /// The availability zones of servers, including those that left recently.
--- a/agateroute_core/tests/lease.rs
+++ b/agateroute_core/tests/lease.rs
@@ -72,26 +72,39 @@
             let mut table = Table::default();
             let mut holders: Vec<Holder> = (0..INSTANCES).map(new_holder).collect();
             let mut names = INSTANCES;
+            let mut numbers: Vec<usize> = (0..INSTANCES).collect();
             let mut now = 0;
+            // A server that refuses old tokens accepts this one and higher ones.
             let mut highest = 0;
+            let mut owners: Vec<(u64, usize)> = Vec::new();
             for input in inputs.iter().take(300) {
                 match *input {
                     Input::Tick { instance, applied, answered } => {
-                        let holder = &mut holders[usize::from(instance) % INSTANCES];
+                        let index = usize::from(instance) % INSTANCES;
+                        let holder = &mut holders[index];
                         tick(holder, &mut table, now, applied, answered);
                         // A server that refuses old tokens gets this holder's orders: the one delayed by
                         // its pause, and the current one.
                         let stale = holder.stale_token.take();
                         let token = holder.lease.fencing_token(now);
-                        for number in stale.into_iter().chain(token) {
-                            highest = highest.max(number);
+                        if let Some(token) = token {
+                            assert!(token >= highest, "the holder's order {token} is refused");
+                            let same = owners.iter().find(|(number, _)| *number == token);
+                            let owner = *same.map_or(&numbers[index], |(_, owner)| owner);
+                            assert_eq!(owner, numbers[index], "two holders have token {token}");
+                            owners.push((token, owner));
                         }
+                        let after_successor =
+                            stale.is_some_and(|s| Some(s) != token && s > highest);
+                        assert!(!after_successor, "an order of a former holder is accepted as new");
+                        highest = highest.max(token.unwrap_or(0));
                         holder.stale_token = token;
                     }
                     Input::Elapse(ms) => now += u64::from(ms),
                     Input::LongPause => now += 2_700,
                     Input::Restart { instance } => {
                         holders[usize::from(instance) % INSTANCES] = new_holder(names);
+                        numbers[usize::from(instance) % INSTANCES] = names;
                         names += 1;
                     }
                 }
--- a/agateroute_core/tests/retries.rs
+++ b/agateroute_core/tests/retries.rs
@@ -37,6 +37,18 @@
     assert!(!budget.try_spend(TARGET, 9_000, allowance(1)), "only moves are left");
 }
 
+#[test]
+fn first_requests_earn() {
+    let mut budget = RetryBudget::default();
+    let no_slack = Allowance { slack: 0, ..allowance(1) };
+    for _ in 0..50 {
+        budget.record_arrival(TARGET, 100, no_slack);
+    }
+    let spent = (0..100).filter(|_| budget.try_spend(TARGET, 200, no_slack)).count();
+    assert_eq!(spent, 10, "20 percent of 50 requests in the only part of the window so far");
+    assert!(!budget.try_spend(TARGET, 10_500, no_slack), "their part is partly outside");
+}
+
 #[test]
 fn window_slides() {
     let mut budget = RetryBudget::default();
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -175,6 +175,9 @@
     /// How long the server worked on the request, in milliseconds.
     #[prost(uint32, tag = "5")]
     pub took_ms: u32,
+    /// Whether the caller ended the request, which says nothing about the server.
+    #[prost(bool, tag = "6")]
+    pub cancelled: bool,
 }
 /// Reports the number of tokens generated so far under a permit.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/agateroute_storage/src/config.rs
+++ b/agateroute_storage/src/config.rs
@@ -107,6 +107,7 @@
         serde_json::from_str(&row.value).map_err(|e| self.decode_error("version row", &e))
     }
 
+    /// The error for a row that can not be decoded.
     fn decode_error(&self, step: &'static str, error: &serde_json::Error) -> PlatformError {
         PlatformError::new(step, &self.table.address, Cause::Decode(error.to_string()))
     }
@@ -140,7 +141,10 @@
             PlatformError::new("object read", &self.objects.address, cause)
         };
         let body = self.objects.get(&key).await?.ok_or_else(missing)?;
-        serde_json::from_slice(&body).map_err(|e| self.decode_error("object", &e))
+        serde_json::from_slice(&body).map_err(|e| {
+            let cause = Cause::Decode(format!("{key}: {e}"));
+            PlatformError::new("object", &self.objects.address, cause)
+        })
     }
 
     /// Puts a document in force as the version after `base`, if `base` is still in force. The id
--- a/agaterouted/src/declared.rs
+++ b/agaterouted/src/declared.rs
@@ -75,7 +75,7 @@
             }
             // A restored service may lack a version that peers still have.
             if readers::is_behind(&instance.daemon) {
-                readers::fetch_all(instance).await;
+                readers::fetch_some(instance).await;
             }
             reread_pause(instance)
         }
@@ -84,7 +84,7 @@
             instance.daemon.apply(Event::TableReachable { reachable: false });
             let pause = monitor.record_failure(&error);
             if instance.document_age() > MAX_READ_AGE_MS {
-                readers::fetch_all(instance).await;
+                readers::fetch_some(instance).await;
             }
             pause
         }
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod source;
 pub mod stream;
 pub mod stream_relay;
+pub mod supervisor;
 pub mod tallies;
 pub mod telemetry;
 pub mod upstream;
--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -173,7 +173,9 @@
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         let address = address.to_owned();
         if channels.len() >= MAX_CHANNELS && !channels.contains(&address) {
-            channels.retain(|_, _| false);
+            // Another one is connected again when it is needed.
+            let evicted = channels.keys().nth(rand::random_range(0..channels.len())).cloned();
+            evicted.and_then(|address| channels.remove(&address));
         }
         let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
         let endpoint = endpoint.connect_timeout(DIAL_TIMEOUT).tcp_nodelay(true);
--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -9,6 +9,7 @@
 use agateroute_core::id;
 use agateroute_core::readers::{self, Role};
 use agateroute_proto::peers::{FetchReply, FetchRequest};
+use rand::seq::SliceRandom;
 use serde::de::DeserializeOwned;
 use spdlog::Level;
 
@@ -27,6 +28,8 @@
 const MAX_SNAPSHOT_AGE_PERCENT: u64 = 75;
 /// The peers that are tried before this instance reads the table service itself.
 const MAX_READERS_TRIED: usize = 2;
+/// The peers that are asked when the table service does not answer: as many as the other instances of a small fleet.
+const MAX_PEERS_ASKED: usize = 4;
 /// The pause before a second fetch from a peer that has not read an announced version yet.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(40);
 /// Hashed to choose the instances that read the table service.
@@ -67,10 +70,13 @@
     instance.document_age() < max_age_ms && servers_fresh(instance) && !is_behind(&instance.daemon)
 }
 
-/// Fetches the snapshots of all linked peers.
-pub async fn fetch_all(instance: &RouteInstance) {
-    for address in instance.daemon.peer_addresses() {
-        fetch_from(instance, &address, Level::Info).await;
+/// Fetches the snapshots of some linked peers, drawn at random, so that a large fleet that loses the table service
+/// does not ask all of them at once.
+pub async fn fetch_some(instance: &RouteInstance) {
+    let mut addresses = instance.daemon.peer_addresses();
+    addresses.shuffle(&mut rand::rng());
+    for address in addresses.iter().take(MAX_PEERS_ASKED) {
+        fetch_from(instance, address, Level::Info).await;
     }
 }
 
--- a/agaterouted/src/request_tracker.rs
+++ b/agaterouted/src/request_tracker.rs
@@ -132,10 +132,12 @@
         Ok(tracker)
     }
 
-    /// Records the backend server of an attempt, and the time from arrival to its start.
+    /// Records the backend server of an attempt, and the time from arrival to the first one.
     pub fn record_start(&mut self, server: &Arc<str>) {
-        let waited = self.arrived.elapsed().as_secs_f64();
-        self.daemon.telemetry.queue.record(waited, &self.metric_labels());
+        if self.server.is_none() {
+            let waited = self.arrived.elapsed().as_secs_f64();
+            self.daemon.telemetry.queue.record(waited, &self.metric_labels());
+        }
         self.server = Some(server.clone());
     }
 
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -24,6 +24,7 @@
 use crate::upstream::Upstream;
 use crate::{
     declared, discovery, instances, jobs, log, peers, poll, restore, route_listener as listener,
+    supervisor,
 };
 
 /// The time limit of a write to the table service or a short read from it.
@@ -132,19 +133,12 @@
         stop_deadline: OnceLock::new(),
         deployment,
     });
-    tokio::spawn(peers::serve(daemon.clone(), peer, cancel.child_token()));
-    tokio::spawn(poll::send_ticks(daemon.clone(), cancel.child_token()));
     tokio::spawn(jobs::run(daemon.clone(), job_queue, cancel.child_token()));
-    tokio::spawn(jobs::read_suspects(daemon.clone(), cancel.child_token()));
-    tokio::spawn(declared::follow_document(instance.clone(), cancel.child_token()));
-    tokio::spawn(declared::follow_changes(instance.clone(), cancel.child_token()));
-    tokio::spawn(discovery::follow_servers(instance.clone(), cancel.child_token()));
-    tokio::spawn(restore::follow(instance.clone(), cancel.child_token()));
-    tokio::spawn(instances::follow(instance.clone(), cancel.child_token()));
     tokio::spawn(listener::run(instance.clone(), callers));
+    tokio::spawn(serve_peers(daemon.clone(), peer, cancel.clone()));
     tokio::spawn(listener::serve_pages(instance.clone(), ready, ready_page, cancel.child_token()));
     tokio::spawn(listener::serve_pages(instance.clone(), ops, ops_page, cancel.child_token()));
-    tokio::spawn(sweep_connections(instance.clone(), cancel.child_token()));
+    spawn_loops(&instance, &cancel);
     spdlog::info!("started", kv: {
         instance: = daemon.identity.name.as_str(),
         start = daemon.identity.start,
@@ -155,7 +149,6 @@
         peer: = daemon.settings.peer.as_str(),
         table: = instance.deployment.table_address.as_str(),
     });
-    tokio::spawn(reload(instance.clone(), cancel.child_token()));
     wait_for_stop(&instance).await?;
     cancel.cancel();
     daemon.telemetry.shutdown();
@@ -163,6 +156,46 @@
     Ok(())
 }
 
+/// Starts the loops that keep what this instance knows up to date. Each is started again if it fails.
+fn spawn_loops(instance: &Arc<RouteInstance>, cancel: &CancellationToken) {
+    let (daemon, token) = (instance.daemon.clone(), cancel.child_token());
+    spawn_kept("ticks", cancel, move || poll::send_ticks(daemon.clone(), token.clone()));
+    let (daemon, token) = (instance.daemon.clone(), cancel.child_token());
+    tokio::spawn(jobs::read_suspects(daemon, token));
+    spawn_loop("document", instance, cancel, declared::follow_document);
+    spawn_loop("document_changes", instance, cancel, declared::follow_changes);
+    spawn_loop("servers", instance, cancel, discovery::follow_servers);
+    spawn_loop("restores", instance, cancel, restore::follow);
+    spawn_loop("instances", instance, cancel, instances::follow);
+    spawn_loop("connections", instance, cancel, sweep_connections);
+    spawn_loop("settings", instance, cancel, reload);
+}
+
+fn spawn_loop<F: Future<Output = ()> + Send + 'static>(
+    name: &'static str,
+    instance: &Arc<RouteInstance>,
+    cancel: &CancellationToken,
+    run: impl Fn(Arc<RouteInstance>, CancellationToken) -> F + Send + Sync + 'static,
+) {
+    let (instance, token) = (instance.clone(), cancel.child_token());
+    spawn_kept(name, cancel, move || run(instance.clone(), token.clone()));
+}
+
+fn spawn_kept<F: Future<Output = ()> + Send + 'static>(
+    name: &'static str,
+    cancel: &CancellationToken,
+    start: impl Fn() -> F + Send + Sync + 'static,
+) {
+    tokio::spawn(supervisor::keep(name, cancel.child_token(), start));
+}
+
+/// Serves peers until cancelled. Without them the instance would go on alone, so an error is at least logged.
+async fn serve_peers(daemon: Arc<Daemon>, listener: TcpListener, cancel: CancellationToken) {
+    if let Err(error) = peers::serve(daemon, listener, cancel).await {
+        spdlog::error!("peers_not_served", kv: { error: });
+    }
+}
+
 fn parse_address(address: &str) -> Result<SocketAddr, StartError> {
     address.parse().map_err(at_step("settings"))
 }
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -116,7 +116,7 @@
         self.lock().servers_read
     }
 
-    /// Reads all pages of a table, at most `MAX_PAGES`. The revision is the lowest one of all pages.
+    /// Reads all pages of a table; more than `MAX_PAGES` are an error. The revision is the lowest one of all pages.
     pub async fn read_table(
         &self,
         deployment: &Deployment,
@@ -125,7 +125,7 @@
         let mut all = Changes::default();
         let client = self.client.with_timeout(READ_TIMEOUT);
         let mut era = None;
-        for _ in 0..MAX_PAGES {
+        for page in 1.. {
             let address = self.address();
             let after = all.rows.last().map_or("", |r| r.key.as_str());
             let request = (deployment.feed.encode_page)(&address, table, after);
@@ -134,16 +134,21 @@
                 return Err(PlatformError::new("table read", &address, Cause::Superseded));
             }
             era = client.era();
-            let page = (deployment.feed.decode)(status, &body)
+            let read = (deployment.feed.decode)(status, &body)
                 .map_err(|cause| PlatformError::new("table read", &address, cause))?;
             // Later pages may be newer: changes after the oldest page's revision are read again.
             all.revision =
-                if all.rows.is_empty() { page.revision } else { all.revision.min(page.revision) };
-            let more = page.has_more && !page.rows.is_empty();
-            all.rows.extend(page.rows);
+                if all.rows.is_empty() { read.revision } else { all.revision.min(read.revision) };
+            let more = read.has_more && !read.rows.is_empty();
+            all.rows.extend(read.rows);
             if !more {
                 break;
             }
+            // A part of the table must not count as all of it.
+            if page == MAX_PAGES {
+                let cause = Cause::Decode(format!("the table has more than {MAX_PAGES} pages"));
+                return Err(PlatformError::new("table read", &address, cause));
+            }
         }
         Ok(all)
     }
--- a/agaterouted/tests/endless.rs
+++ b/agaterouted/tests/endless.rs
@@ -134,3 +134,12 @@
         goes_on(&platform, &server, &instance).await;
     }
 }
+
+#[tokio::test]
+async fn slow_stream_not_cut() {
+    let (platform, _server, instance) = start("writers", Part::Nothing, true).await;
+    standin::publish_brisk(&platform.store, 2);
+    let answer = stream(&instance).await;
+    assert!(answer.complete);
+    assert_eq!(answer.event_ids(), [1, 2, 3]);
+}
