Let fewer instances follow the table service, at different times

Eight of 118 instances each read the feed of the servers nine times a second, because it changes with each heartbeat. Ruled out: the rows of instances (about 500 calls) and the document (about 250).

--- a/agateroute_core/src/readers.rs
+++ b/agateroute_core/src/readers.rs
@@ -14,8 +14,9 @@
 const MAX_SMALL_FLEET: usize = 5;
 /// The minimum number of readers in a larger fleet, so that two can fail at once.
 const MIN_READERS: usize = 3;
-/// The number of instances per reader, which answers each of them twice a second.
-const INSTANCES_PER_READER: usize = 16;
+/// The number of instances per reader, which answers each of them once or twice a second. A change of the table is
+/// sent to each reader, so more of them cost more.
+const INSTANCES_PER_READER: usize = 32;
 
 /// How an instance obtains the contents of the table service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +40,14 @@
     }
 }
 
+/// Returns how many of a number of instances follow the table service's feed.
+pub fn reader_count(instances: usize) -> usize {
+    match instances <= MAX_SMALL_FLEET {
+        true => 1,
+        false => MIN_READERS.max(instances.div_ceil(INSTANCES_PER_READER)),
+    }
+}
+
 /// Returns the role of this instance among `owners`, the reachable instances that are not leaving.
 pub fn role(membership: &Membership, duty: Id, owners: &[Id]) -> Role {
     let me = membership.me;
@@ -51,7 +60,7 @@
     if owners.len() <= MAX_SMALL_FLEET {
         return if readers.first() == Some(&me) { Role::Follower } else { Role::Poller };
     }
-    readers.truncate(MIN_READERS.max(owners.len().div_ceil(INSTANCES_PER_READER)));
+    readers.truncate(reader_count(owners.len()));
     if readers.contains(&me) {
         return Role::Follower;
     }
--- a/agaterouted/src/declared.rs
+++ b/agaterouted/src/declared.rs
@@ -16,7 +16,7 @@
 use crate::clock::boot_millis;
 use crate::compose::{PeerDocument, compose, peer_listings};
 use crate::daemon::millis;
-use crate::readers::{self, FETCH_PAUSE};
+use crate::readers;
 use crate::restore;
 use crate::route_instance::RouteInstance;
 use crate::source::{DependencyMonitor, cancelled_within};
@@ -45,7 +45,7 @@
             last_role = Some(role);
         }
         let pause = match readers::refresh(&instance).await {
-            true => FETCH_PAUSE,
+            true => readers::fetch_pause(&instance),
             false => read_document(&instance, &mut monitor).await,
         };
         tokio::select! {
--- a/agaterouted/src/discovery.rs
+++ b/agaterouted/src/discovery.rs
@@ -15,7 +15,7 @@
 use crate::clock::boot_millis;
 use crate::daemon::millis;
 use crate::declared::rebuild_config;
-use crate::readers::{self, FETCH_PAUSE};
+use crate::readers;
 use crate::restore;
 use crate::route_instance::RouteInstance;
 use crate::source::{DependencyMonitor, cancelled_within};
@@ -33,6 +33,8 @@
 /// The reads of changes after which the table is read in full, in case the service lost changes.
 const MAX_CHANGE_READS: u32 = 40;
 /// The most invalid rows that are remembered so that each is logged once.
+/// The longest part of `drain_ms` for which a follower pauses, in percent.
+const MAX_PAUSE_PERCENT: u64 = 25;
 const MAX_REJECTED_ROWS: usize = 64;
 
 /// Keeps the list of backend servers, until cancelled. A follower reads the changes and announces servers
@@ -46,7 +48,7 @@
         let role = readers::role(&instance.daemon);
         if matches!(role, Role::Client(_)) && servers_fresh(&instance) {
             after = None;
-            if cancelled_within(&cancel, FETCH_PAUSE).await {
+            if cancelled_within(&cancel, readers::fetch_pause(&instance)).await {
                 return;
             }
             continue;
@@ -72,7 +74,7 @@
                     instance.daemon.snapshot.record_servers(requested_at, 0, changes.revision);
                 }
                 match follows {
-                    true => CHANGES_PAUSE,
+                    true => changes_pause(&instance),
                     false => millis(instance.bounds().drain_ms * REREAD_PERCENT / 100),
                 }
             }
@@ -95,6 +97,12 @@
 /// Whether the last snapshot or read of the servers is recent enough to skip a read.
 pub fn servers_fresh(instance: &RouteInstance) -> bool {
     let max_age_ms = instance.bounds().drain_ms * MAX_SNAPSHOT_AGE_PERCENT / 100;
+fn changes_pause(instance: &RouteInstance) -> Duration {
+    let followers = instance.daemon.read(readers::follower_count);
+    let longest = millis(instance.bounds().drain_ms * MAX_PAUSE_PERCENT / 100);
+    (CHANGES_PAUSE * followers).min(longest).max(CHANGES_PAUSE)
+}
+
     instance.daemon.snapshot.servers_age().is_some_and(|age| age < max_age_ms)
 }
 
--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use agateroute_core::id;
+use agateroute_core::server_list::ListPoint;
+use agateroute_core::{State, id};
 use agateroute_core::readers::{self, Role};
 use agateroute_proto::peers::{FetchReply, FetchRequest};
 use rand::seq::SliceRandom;
@@ -15,14 +17,18 @@
 
 use crate::clock::boot_millis;
 use crate::compose::{PeerDocument, PeerListing};
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, millis};
 use crate::declared::apply_declared;
 use crate::discovery::{apply_snapshot, servers_fresh};
 use crate::restore;
 use crate::route_instance::RouteInstance;
 
-/// The pause between two fetches from a reader.
-pub const FETCH_PAUSE: Duration = Duration::from_millis(500);
+/// The part of the shortest time in which news must be known that passes between two fetches from a reader, in
+/// percent. Urgent news are sent to all instances at once. Together with the age of what a reader hands out it stays
+/// below [`MAX_SNAPSHOT_AGE_PERCENT`].
+const FETCH_PERCENT: u64 = 20;
+/// The shortest pause between two fetches from a reader.
+const MIN_FETCH_PAUSE: Duration = Duration::from_millis(500);
 /// The part of `configure_ms` for which a peer's snapshot replaces a read, in percent. Readers read after
 /// half of it, and announce a new version at once.
 const MAX_SNAPSHOT_AGE_PERCENT: u64 = 75;
@@ -39,6 +45,17 @@
 pub fn role(daemon: &Daemon) -> Role {
     daemon.read(|state| readers::role(&state.membership, id(READER_DUTY), state.owners()))
 }
+/// The pause between two fetches from a reader.
+pub fn fetch_pause(instance: &RouteInstance) -> Duration {
+    let bounds = instance.bounds();
+    millis(bounds.configure_ms.min(bounds.drain_ms) * FETCH_PERCENT / 100).max(MIN_FETCH_PAUSE)
+}
+
+/// The number of instances that follow changes in the table service.
+pub fn follower_count(state: &State) -> u32 {
+    readers::reader_count(state.owners().len()) as u32
+}
+
 
 /// Fetches snapshots from peers that read the table service, if this instance does not read it itself.
 /// Returns whether the document and servers are then recent enough.
