Hand the list of backend servers to peers by changes

Ruled out: revisions of the table service in place of numbers of one's own (docs/DESIGN.md). Change: a reader numbers the changes of its list, an asker names the number it has taken and gets what came after; a digest that does not depend on order shows whether both have the same list. The JSON of the document is written once a version, that of the whole list once a change.

--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod retry;
 pub mod roster;
 pub mod routes;
+pub mod server_list;
 pub mod sse;
 pub mod state;
 pub mod suspect;
--- a/agateroute_core/src/roster.rs
+++ b/agateroute_core/src/roster.rs
@@ -69,7 +69,7 @@
 
 impl Listing {
     /// Whether the entry says the same about the server, however often it was written.
-    fn same_server(&self, other: &Listing) -> bool {
+    pub fn same_server(&self, other: &Listing) -> bool {
         let other = Listing { writes: self.writes, ..other.clone() };
         *self == other
     }
@@ -262,6 +262,31 @@
         self.replace_all(now, revision, rows)
     }
 
+    /// Applies what has changed in a peer's list since the last update from it, as [`Roster::set_from_peer`] does for a
+    /// whole list.
+    pub fn update_from_peer(
+        &mut self,
+        now: Millis,
+        revision: u64,
+        changed: Vec<Listing>,
+        removed: &[String],
+    ) -> Change {
+        (self.unavailable, self.outage_at) = (false, None);
+        let mut change = Change::None;
+        for listing in changed {
+            let row =
+                self.rows.get(&listing.name).filter(|r| r.listing.start_ms == listing.start_ms);
+            let writes = row.map_or(listing.writes, |r| r.listing.writes);
+            let name = listing.name.clone();
+            change =
+                change.max(self.update(now, &name, revision, Some(Listing { writes, ..listing })));
+        }
+        for name in removed {
+            change = change.max(self.update(now, name, revision, None));
+        }
+        change
+    }
+
     /// Removes the rows whose grace period is over. Nothing is removed during an outage.
     pub fn expire(&mut self, now: Millis) -> Change {
         if self.unavailable {
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -326,6 +326,12 @@
     /// The era of the table service in which that version was read.
     #[prost(uint64, tag = "3")]
     pub document_era: u64,
+    /// The instance and start whose changes of the list the caller has taken, and the number of the last of them; 0 for
+    /// none.
+    #[prost(fixed64, tag = "4")]
+    pub list_source: u64,
+    #[prost(uint64, tag = "5")]
+    pub list_number: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchReply {
@@ -356,6 +362,17 @@
     /// The era of the table service that the sender knows, plus one; 0 if it knows none.
     #[prost(uint64, tag = "9")]
     pub era: u64,
+    /// Whether `servers` holds only the entries that were added or changed since the caller's number.
+    #[prost(bool, tag = "10")]
+    pub servers_changed: bool,
+    /// The names of the entries that were removed since.
+    #[prost(string, repeated, tag = "11")]
+    pub servers_removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The instance and start that numbers the changes of this list, and the number of the last one.
+    #[prost(fixed64, tag = "12")]
+    pub list_source: u64,
+    #[prost(uint64, tag = "13")]
+    pub list_number: u64,
 }
 /// The reason why a permit was denied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/agaterouted/src/compose.rs
+++ b/agaterouted/src/compose.rs
@@ -106,20 +106,19 @@
     }
 }
 
-/// Converts the listed servers that take new work.
-pub fn peer_listings(roster: &Roster) -> Vec<PeerListing> {
-    let listing = |l: &Listing| PeerListing {
-        name: l.name.clone(),
-        service: l.service.clone(),
-        address: l.address.clone(),
-        zone: l.zone.clone(),
-        slots: l.slots,
-        born: l.start_ms,
-    };
-    roster.ready().map(listing).collect()
-}
-
 impl PeerListing {
+    /// Converts the listing of a server that takes new work.
+    pub fn new(listing: &Listing) -> PeerListing {
+        PeerListing {
+            name: listing.name.clone(),
+            service: listing.service.clone(),
+            address: listing.address.clone(),
+            zone: listing.zone.clone(),
+            slots: listing.slots,
+            born: listing.start_ms,
+        }
+    }
+
     /// Converts the listing of a peer, which sends only servers that take new work.
     pub fn into_listing(self) -> Listing {
         Listing {
--- a/agaterouted/src/declared.rs
+++ b/agaterouted/src/declared.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::boot_millis;
-use crate::compose::{PeerDocument, compose, peer_listings};
+use crate::compose::{PeerDocument, compose};
 use crate::daemon::millis;
 use crate::readers;
 use crate::restore;
@@ -181,20 +181,21 @@
     let state = instance.source.lock();
     let Some(declared) = state.declared.get().cloned() else { return };
     let document = compose(&declared, &state.roster, &bounds);
-    let document_era = state.declared.version().map_or(0, |v| v.era);
-    let json = serde_json::to_string(&PeerDocument::new(&declared));
-    let listings = serde_json::to_string(&peer_listings(&state.roster));
+    let version = state.declared.version();
     let servers = document.servers.len();
+    instance.daemon.snapshot.set_servers(state.roster.ready().cloned());
     drop(state);
     if declared.version > instance.daemon.config().version || !instance.daemon.configured() {
         instance.daemon.configure(declared.version, document);
     } else {
         instance.daemon.set_servers(document);
     }
-    match (json, listings) {
-        (Ok(json), Ok(listings)) => instance.daemon.snapshot.set(json, document_era, listings),
-        (Err(error), _) | (_, Err(error)) => {
-            spdlog::error!("document_not_written", kv: { error: });
+    if let Some(version) =
+        version.filter(|v| instance.daemon.snapshot.document_version() != Some(*v))
+    {
+        match serde_json::to_string(&PeerDocument::new(&declared)) {
+            Ok(json) => instance.daemon.snapshot.set_document(version, json),
+            Err(error) => spdlog::error!("document_not_written", kv: { error: }),
         }
     }
     spdlog::info!("servers_in_force", kv: { version = declared.version, servers });
--- a/agaterouted/src/discovery.rs
+++ b/agaterouted/src/discovery.rs
@@ -6,8 +6,9 @@
 
 use agateroute_adapter::{Changes, RowChange};
 use agateroute_core::id;
+use agateroute_core::id::Millis;
 use agateroute_core::readers::Role;
-use agateroute_core::roster::{Change, Listing};
+use agateroute_core::roster::{Change, Listing, Roster};
 use agateroute_storage::PlatformError;
 use agateroute_storage::error::Cause;
 use tokio_util::sync::CancellationToken;
@@ -28,13 +29,15 @@
 const MAX_SNAPSHOT_AGE_PERCENT: u64 = 65;
 /// How long one read of changes waits.
 const CHANGES_WAIT: Duration = Duration::from_millis(600);
-/// The pause between two reads of changes, so that one read gets several changes.
+/// The pause between two reads of changes of one follower, so that one read gets several changes. Each follower pauses
+/// in proportion to their number: they read at different times, and the first one that sees a server leave informs
+/// all instances.
 const CHANGES_PAUSE: Duration = Duration::from_millis(100);
+/// The longest part of `drain_ms` for which a follower pauses, in percent.
+const MAX_PAUSE_PERCENT: u64 = 25;
 /// The reads of changes after which the table is read in full, in case the service lost changes.
 const MAX_CHANGE_READS: u32 = 40;
 /// The most invalid rows that are remembered so that each is logged once.
-/// The longest part of `drain_ms` for which a follower pauses, in percent.
-const MAX_PAUSE_PERCENT: u64 = 25;
 const MAX_REJECTED_ROWS: usize = 64;
 
 /// Keeps the list of backend servers, until cancelled. A follower reads the changes and announces servers
@@ -94,15 +97,15 @@
     }
 }
 
-/// Whether the last snapshot or read of the servers is recent enough to skip a read.
-pub fn servers_fresh(instance: &RouteInstance) -> bool {
-    let max_age_ms = instance.bounds().drain_ms * MAX_SNAPSHOT_AGE_PERCENT / 100;
 fn changes_pause(instance: &RouteInstance) -> Duration {
     let followers = instance.daemon.read(readers::follower_count);
     let longest = millis(instance.bounds().drain_ms * MAX_PAUSE_PERCENT / 100);
     (CHANGES_PAUSE * followers).min(longest).max(CHANGES_PAUSE)
 }
 
+/// Whether the last snapshot or read of the servers is recent enough to skip a read.
+pub fn servers_fresh(instance: &RouteInstance) -> bool {
+    let max_age_ms = instance.bounds().drain_ms * MAX_SNAPSHOT_AGE_PERCENT / 100;
     instance.daemon.snapshot.servers_age().is_some_and(|age| age < max_age_ms)
 }
 
@@ -137,10 +140,32 @@
     }
 }
 
-/// Applies the servers of a peer's snapshot.
-pub fn apply_snapshot(instance: &RouteInstance, revision: u64, listings: Vec<Listing>) {
+/// Applies the whole list of a peer.
+pub fn apply_peer_list(instance: &RouteInstance, revision: u64, listings: Vec<Listing>) {
+    apply_from_peer(instance, revision, |roster, now| {
+        roster.set_from_peer(now, revision, listings)
+    });
+}
+
+/// Applies what has changed in the list of a peer.
+pub fn apply_peer_changes(
+    instance: &RouteInstance,
+    revision: u64,
+    changed: Vec<Listing>,
+    removed: &[String],
+) {
+    apply_from_peer(instance, revision, |roster, now| {
+        roster.update_from_peer(now, revision, changed, removed)
+    });
+}
+
+fn apply_from_peer(
+    instance: &RouteInstance,
+    revision: u64,
+    apply: impl FnOnce(&mut Roster, Millis) -> Change,
+) {
     let mut state = instance.source.lock();
-    let mut change = state.roster.set_from_peer(boot_millis(), revision, listings);
+    let mut change = apply(&mut state.roster, boot_millis());
     if !std::mem::replace(&mut state.servers_read, true) {
         change = Change::Servers;
     }
--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -6,10 +6,9 @@
 
 use std::time::Duration;
 
-use agateroute_core::id;
+use agateroute_core::readers::{self, Role};
 use agateroute_core::server_list::ListPoint;
 use agateroute_core::{State, id};
-use agateroute_core::readers::{self, Role};
 use agateroute_proto::peers::{FetchReply, FetchRequest};
 use rand::seq::SliceRandom;
 use serde::de::DeserializeOwned;
@@ -19,7 +18,7 @@
 use crate::compose::{PeerDocument, PeerListing};
 use crate::daemon::{Daemon, millis};
 use crate::declared::apply_declared;
-use crate::discovery::{apply_snapshot, servers_fresh};
+use crate::discovery::{apply_peer_changes, apply_peer_list, servers_fresh};
 use crate::restore;
 use crate::route_instance::RouteInstance;
 
@@ -45,6 +44,7 @@
 pub fn role(daemon: &Daemon) -> Role {
     daemon.read(|state| readers::role(&state.membership, id(READER_DUTY), state.owners()))
 }
+
 /// The pause between two fetches from a reader.
 pub fn fetch_pause(instance: &RouteInstance) -> Duration {
     let bounds = instance.bounds();
@@ -56,7 +56,6 @@
     readers::reader_count(state.owners().len()) as u32
 }
 
-
 /// Fetches snapshots from peers that read the table service, if this instance does not read it itself.
 /// Returns whether the document and servers are then recent enough.
 pub async fn refresh(instance: &RouteInstance) -> bool {
@@ -102,10 +101,13 @@
 async fn fetch_from(instance: &RouteInstance, address: &str, level: Level) -> bool {
     let requested_at = boot_millis();
     let daemon = &instance.daemon;
+    let point = instance.source.lock().list_point;
     let request = FetchRequest {
         version: daemon.config().version,
         servers_seen: daemon.snapshot.servers_digest(),
-        document_era: daemon.snapshot.document_era(),
+        document_era: daemon.snapshot.document_version().map_or(0, |v| v.era),
+        list_source: point.source,
+        list_number: point.number,
     };
     let Some(reply) = instance.source.channels.fetch(address, request).await else { return false };
     if let Some(era) = reply.era.checked_sub(1) {
@@ -137,13 +139,22 @@
 
 /// Applies the servers of a reply. Returns whether the servers known here are then those of the reply.
 fn apply_servers(instance: &RouteInstance, address: &str, reply: &FetchReply) -> bool {
-    if reply.servers.is_empty() {
-        return reply.servers_seen == instance.daemon.snapshot.servers_digest();
+    let same = reply.servers.is_empty();
+    if !same || !instance.source.has_servers() {
+        let listings = if same { Some(Vec::new()) } else { parse(address, &reply.servers) };
+        let Some(listings) = listings else { return false };
+        let listings: Vec<PeerListing> = listings;
+        let listings = listings.into_iter().map(PeerListing::into_listing).collect();
+        if reply.servers_changed || same {
+            apply_peer_changes(instance, reply.servers_revision, listings, &reply.servers_removed);
+        } else {
+            apply_peer_list(instance, reply.servers_revision, listings);
+        }
     }
-    let Some(listings) = parse::<Vec<PeerListing>>(address, &reply.servers) else { return false };
-    let listings = listings.into_iter().map(PeerListing::into_listing).collect();
-    apply_snapshot(instance, reply.servers_revision, listings);
-    true
+    let current = reply.servers_seen == instance.daemon.snapshot.servers_digest();
+    let point = ListPoint { source: reply.list_source, number: reply.list_number };
+    instance.source.lock().list_point = if current { point } else { ListPoint::default() };
+    current
 }
 
 fn parse<T: DeserializeOwned>(address: &str, text: &str) -> Option<T> {
--- a/agaterouted/src/snapshot.rs
+++ b/agaterouted/src/snapshot.rs
@@ -3,36 +3,48 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use agateroute_core::freshness::Freshness;
-use agateroute_core::id::{Millis, id_of_bytes};
+use agateroute_core::id::Millis;
+use agateroute_core::restore::DocumentVersion;
+use agateroute_core::roster::Listing;
+use agateroute_core::server_list::{ListPoint, ListUpdate, ServerList};
 use agateroute_proto::peers::{FetchReply, FetchRequest};
 
 use crate::clock::boot_millis;
+use crate::compose::PeerListing;
 
-/// The active document and the backend servers, encoded for peers.
+/// The active document and the backend servers, for peers.
 #[derive(Debug, Default)]
 pub struct Snapshot {
     state: Mutex<SnapshotState>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct SnapshotState {
-    document: Option<Arc<str>>,
-    servers: Option<EncodedServers>,
+    /// The JSON of the document, and its version.
+    document: Option<(DocumentVersion, Arc<str>)>,
+    servers: ServerList,
+    /// The JSON of the whole list, and the point at which it was written.
+    servers_text: Option<(ListPoint, Arc<str>)>,
     document_freshness: Freshness,
     servers_freshness: Freshness,
     /// The revision of the table service at which the servers were read.
     servers_revision: u64,
-    /// The era of the table service in which the document was read.
-    document_era: u64,
     /// The era of the table service, `None` if it has none.
     era: Option<u64>,
 }
 
-#[derive(Debug)]
-struct EncodedServers {
-    text: Arc<str>,
-    /// The hash of the text. A peer that has the same hash gets no text.
-    digest: u64,
+impl Default for SnapshotState {
+    fn default() -> SnapshotState {
+        SnapshotState {
+            document: None,
+            servers: ServerList::new(rand::random_range(1..u64::MAX)),
+            servers_text: None,
+            document_freshness: Freshness::default(),
+            servers_freshness: Freshness::default(),
+            servers_revision: 0,
+            era: None,
+        }
+    }
 }
 
 impl Snapshot {
@@ -63,9 +75,9 @@
         self.lock().servers_freshness.age(boot_millis())
     }
 
-    /// The hash of the encoded backend servers, 0 if none were read.
+    /// The digest of the list of backend servers.
     pub fn servers_digest(&self) -> u64 {
-        self.lock().servers.as_ref().map_or(0, |s| s.digest)
+        self.lock().servers.digest()
     }
 
     /// Records a new era of the table service, whose revisions do not compare with those before. Returns the last
@@ -81,18 +93,19 @@
         self.lock().servers_revision
     }
 
-    /// The era in which the document was read.
-    pub fn document_era(&self) -> u64 {
-        self.lock().document_era
+    /// The version of the document that is set, with the era in which it was read.
+    pub fn document_version(&self) -> Option<DocumentVersion> {
+        self.lock().document.as_ref().map(|(version, _)| *version)
     }
 
-    /// Sets the JSON of the document, the era in which it was read, and the JSON of the backend servers.
-    pub fn set(&self, document: String, document_era: u64, servers: String) {
-        let mut state = self.lock();
-        state.document_era = document_era;
-        state.document = Some(document.into());
-        let digest = id_of_bytes(servers.as_bytes());
-        state.servers = Some(EncodedServers { text: servers.into(), digest });
+    /// Sets the JSON of a version of the document.
+    pub fn set_document(&self, version: DocumentVersion, json: String) {
+        self.lock().document = Some((version, json.into()));
+    }
+
+    /// Sets the backend servers that take new work.
+    pub fn set_servers(&self, listings: impl Iterator<Item = Listing>) {
+        self.lock().servers.replace(listings);
     }
 
     /// Answers a fetch, with the active version. `encode` writes the document if no JSON was set for it, and
@@ -104,26 +117,58 @@
         encode: impl FnOnce() -> Result<String, serde_json::Error>,
     ) -> Result<FetchReply, serde_json::Error> {
         let now = boot_millis();
-        let state = self.lock();
+        let mut state = self.lock();
         let age = |read: &Freshness| read.age(now).map_or(0, |age| age + 1);
+        let document_era = state.document.as_ref().map_or(0, |(version, _)| version.era);
         let document = match &state.document {
-            _ if (version, state.document_era) <= (request.version, request.document_era) => {
+            _ if (version, document_era) <= (request.version, request.document_era) => {
                 String::new()
             }
-            Some(text) => text.to_string(),
+            Some((_, text)) => text.to_string(),
             None => encode()?,
         };
-        let servers = state.servers.as_ref().filter(|s| s.digest != request.servers_seen);
-        Ok(FetchReply {
+        let mut reply = FetchReply {
             version,
             document,
+            document_era,
             reading_age: age(&state.document_freshness),
-            servers: servers.map_or_else(String::new, |s| s.text.to_string()),
-            servers_seen: state.servers.as_ref().map_or(0, |s| s.digest),
             servers_age: age(&state.servers_freshness),
             servers_revision: state.servers_revision,
-            document_era: state.document_era,
+            servers_seen: state.servers.digest(),
+            list_source: state.servers.point().source,
+            list_number: state.servers.point().number,
             era: state.era.map_or(0, |era| era + 1),
-        })
+            ..FetchReply::default()
+        };
+        let point = ListPoint { source: request.list_source, number: request.list_number };
+        match state.servers.update_since(point, request.servers_seen) {
+            ListUpdate::Same => {}
+            ListUpdate::Changes(changed, removed) => {
+                reply.servers = encode_listings(&changed)?;
+                reply.servers_changed = true;
+                reply.servers_removed = removed;
+            }
+            ListUpdate::Whole(all) => reply.servers = state.whole_list(&all)?.to_string(),
+        }
+        Ok(reply)
     }
 }
+
+impl SnapshotState {
+    /// The JSON of the whole list, which many peers ask for after a restart of all.
+    fn whole_list(&mut self, listings: &[Listing]) -> Result<Arc<str>, serde_json::Error> {
+        let point = self.servers.point();
+        if let Some((written_at, text)) = &self.servers_text
+            && *written_at == point
+        {
+            return Ok(text.clone());
+        }
+        let text: Arc<str> = encode_listings(listings)?.into();
+        self.servers_text = Some((point, text.clone()));
+        Ok(text)
+    }
+}
+
+fn encode_listings(listings: &[Listing]) -> Result<String, serde_json::Error> {
+    serde_json::to_string(&listings.iter().map(PeerListing::new).collect::<Vec<_>>())
+}
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -13,6 +13,7 @@
 use agateroute_core::newest::Newest;
 use agateroute_core::restore::{DocumentVersion, Restores};
 use agateroute_core::roster::Roster;
+use agateroute_core::server_list::ListPoint;
 use agateroute_storage::error::Cause;
 use agateroute_storage::{Client, PlatformError};
 use tokio::sync::watch;
@@ -28,7 +29,7 @@
 /// succeeds, so the pause stays well under a second.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// The most pages of one read, so that a service that always reports another page can not make it endless.
-const MAX_PAGES: usize = 64;
+const MAX_PAGES: usize = 512;
 
 /// The table service as a source of the document and the backend servers.
 #[derive(Debug)]
@@ -53,6 +54,8 @@
     pub servers_read: bool,
     /// The era of the table service and what reads in it prove.
     pub restores: Restores,
+    /// The changes of a peer's list of servers that were taken.
+    pub list_point: ListPoint,
     /// The last revision of the servers in the former era.
     pub former_revision: u64,
     /// The keys and revisions of invalid rows of the discovery table that were logged.
