Tell later instances at once that an era has settled

All instances were killed again and again around two returns of the table service. One that starts without the word of another waits 2.5 s before it trusts a reading, and rows said that the era had settled only at their next periodic write, 20 s later.

--- a/agaterouted/src/restore.rs
+++ b/agaterouted/src/restore.rs
@@ -49,6 +49,7 @@
 /// Records that an instance has seen an era settle.
 pub fn confirm(instance: &RouteInstance, era: u64) {
     if instance.source.lock().restores.confirm(boot_millis(), era) {
+        spdlog::info!("table_era_confirmed", kv: { era });
         instance.daemon.version_notify.notify_one();
     }
 }
@@ -81,14 +82,16 @@
         }
         let era = *eras.borrow_and_update();
         observe(&instance);
-        let Some(former) = std::mem::replace(&mut former, era) else { continue };
+        let former = std::mem::replace(&mut former, era);
+        let returned = former.is_some();
         instance.daemon.version_notify.notify_one();
         let suspects = tokio::select! {
             () = cancel.cancelled() => return,
             // The next return starts over.
             _ = eras.changed() => { eras.mark_changed(); continue }
-            suspects = rewrite(&instance) => suspects,
+            suspects = rewrite(&instance, returned) => suspects,
         };
+        let Some(former) = former else { continue };
         spdlog::info!("table_restored", kv: {
             former,
             era = era.unwrap_or(0),
@@ -102,17 +105,22 @@
     }
 }
 
-/// Writes the rows of this instance again and waits until reads are settled. Returns the number of suspect requests
-/// that were known.
-async fn rewrite(instance: &RouteInstance) -> usize {
+/// Waits until reads are settled, after a return of the service or the start of this instance. Writes the rows of this
+/// instance again after a return, and once more when reads are settled, so that instances which start later need not
+/// wait. Returns the number of suspect requests that are known.
+async fn rewrite(instance: &RouteInstance, returned: bool) -> usize {
     tokio::time::sleep(MAX_REWRITE_PAUSE.mul_f64(rand::random())).await;
-    instance.announce_notify.notify_one();
-    instance.daemon.apply(Event::TableRestored);
+    if returned {
+        instance.announce_notify.notify_one();
+        instance.daemon.apply(Event::TableRestored);
+    }
     loop {
         let left_ms = instance.source.lock().restores.settles_in(boot_millis());
         if left_ms == 0 {
-            return instance.daemon.read(|state| state.suspects.iter().count());
+            break;
         }
         tokio::time::sleep(millis(left_ms)).await;
     }
+    instance.announce_notify.notify_one();
+    instance.daemon.read(|state| state.suspects.iter().count())
 }
--- a/agatestand/src/fault_plan.rs
+++ b/agatestand/src/fault_plan.rs
@@ -33,6 +33,9 @@
 const MAX_AWAY_MS: u64 = 800;
 /// Upper bound for the time within which writers write again what a restored table service lost.
 const MAX_REWRITE_MS: u64 = 1_600;
+/// Time from one return of the table service to the next. While all instances are killed again and again, none of them
+/// can know after a return that no key was withdrawn, so they refuse work for some seconds.
+const RESTORE_INTERVAL: Duration = Duration::from_secs(10);
 /// One of this many injections is followed by a further fault of [`FaultKind::FURTHER`].
 const FURTHER_SHARE: u32 = 4;
 /// Stream of the generator that draws further faults. The draws of all others do not depend on them, so a seed that
@@ -113,6 +116,8 @@
     further_rng: ChaCha8Rng,
     /// Content from which the table service comes back.
     copy: Option<Copy>,
+    /// When the table service may come back from a copy again.
+    next_restore: Option<Instant>,
     /// Servers that are leaving, and whether their entry was removed without notice.
     leaving: Vec<(usize, bool)>,
 }
@@ -132,6 +137,7 @@
             injected: Vec::new(),
             further_rng,
             copy: None,
+            next_restore: None,
             leaving: Vec::new(),
         }
     }
@@ -201,9 +207,11 @@
     /// Copies the content of the table service, and brings it back from that copy later. What was written meanwhile
     /// is then written again, not all at once.
     fn restore(&mut self, testbed: &mut Testbed) {
-        if self.copy.is_some() || self.pending.iter().any(|(_, u)| *u == Undo::Store) {
+        let too_early = self.next_restore.is_some_and(|at| Instant::now() < at);
+        if too_early || self.pending.iter().any(|(_, u)| *u == Undo::Store) {
             return;
         }
+        self.next_restore = Some(Instant::now() + RESTORE_INTERVAL);
         self.count_fault("table service restored");
         self.copy = Some(testbed.store.copy());
         let lost_ms = self.further_rng.random_range(0..MAX_LOST_MS);
