--- a/agaterouted/tests/endless.rs
+++ b/agaterouted/tests/endless.rs
@@ -49,17 +49,22 @@
     assert!(instance.peak_memory_mib() < MAX_MEMORY_MIB, "{} MiB", instance.peak_memory_mib());
 }
 
+/// Calls a route with a timeout that is shorter than the caller's.
+async fn call_hasty(platform: &TestPlatform, instance: &Instance) -> Answer {
+    standin::publish_limits(&platform.store, 2, 10_000, TIMEOUT_MS);
+    eventually("the route exists", async || {
+        let status = instance.call("POST", "/hasty/", "yew-key", "").await.status;
+        status != StatusCode::NOT_FOUND
+    })
+    .await;
+    instance.call("POST", "/hasty/", "yew-key", "").await
+}
+
 #[tokio::test]
 async fn plain_answers_at_full_speed() {
     let check = async |part: Part| {
         let (platform, server, instance) = start("ledger", part, false).await;
-        standin::publish_limits(&platform.store, 2, 10_000, TIMEOUT_MS);
-        eventually("the route exists", async || {
-            let status = instance.call("POST", "/hasty/", "yew-key", "").await.status;
-            status != StatusCode::NOT_FOUND
-        })
-        .await;
-        let answer = instance.call("POST", "/hasty/", "yew-key", "").await;
+        let answer = call_hasty(&platform, &instance).await;
         let lost = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT].contains(&answer.status);
         assert!(lost, "{part:?}: {}", answer.status);
         goes_on(&platform, &server, &instance).await;
@@ -71,13 +76,7 @@
 async fn plain_answers_a_byte_now_and_then() {
     let check = async |part: Part| {
         let (platform, server, instance) = start("ledger", part, true).await;
-        standin::publish_limits(&platform.store, 2, 10_000, TIMEOUT_MS);
-        eventually("the route exists", async || {
-            let status = instance.call("POST", "/hasty/", "yew-key", "").await.status;
-            status != StatusCode::NOT_FOUND
-        })
-        .await;
-        let answer = instance.call("POST", "/hasty/", "yew-key", "").await;
+        let answer = call_hasty(&platform, &instance).await;
         assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{part:?}");
         goes_on(&platform, &server, &instance).await;
     };
