Do not trust a caller's estimate long after the order to stop

The estimate is right at the median and often far off. Change: 2.5 s after the order to stop and later, only the limit on the output counts.

--- a/agateroute_core/src/leaving.rs
+++ b/agateroute_core/src/leaving.rs
@@ -11,16 +11,26 @@
 const MAX_FIRST_TOKEN_MS: u64 = 1_500;
 /// The factor by which a generation may exceed the caller's estimate of its length.
 const HINT_FACTOR: u32 = 2;
+/// How long after the order to stop the caller's estimate of a length counts, in milliseconds. It is right at the median
+/// and often far off; a request that arrives later must be answered completely, so only its limit on the output counts.
+const HINT_TRUST_MS: u64 = 2_500;
 /// The longest time of a plain call, in milliseconds.
 const MAX_CALL_MS: u64 = 700;
 
-/// Returns whether a request can probably be answered completely within `left_ms`. `max_tokens` limits
-/// the output and `hint` is the caller's estimate of its length in tokens, 0 if there is none.
-pub fn can_finish(left_ms: u64, kind: RouteKind, max_tokens: u32, hint: u32) -> bool {
+/// Returns whether a request can be answered completely within `left_ms`, `stopping_ms` after the order to stop.
+/// `max_tokens` limits the output and `hint` is the caller's estimate of its length in tokens, 0 if there is none.
+pub fn can_finish(
+    left_ms: u64,
+    stopping_ms: u64,
+    kind: RouteKind,
+    max_tokens: u32,
+    hint: u32,
+) -> bool {
     if !kind.streams() {
         return left_ms >= MAX_CALL_MS;
     }
+    let trusted = hint > 0 && stopping_ms <= HINT_TRUST_MS;
     let tokens =
-        if hint == 0 { max_tokens } else { hint.saturating_mul(HINT_FACTOR).min(max_tokens) };
+        if !trusted { max_tokens } else { hint.saturating_mul(HINT_FACTOR).min(max_tokens) };
     left_ms >= MAX_FIRST_TOKEN_MS + u64::from(tokens) * BUSY_TOKEN_MS
 }
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -64,13 +64,19 @@
     /// Cancelled shortly before the process ends, so that requests without an answer get a final one.
     pub giving_up: CancellationToken,
     bounds: RwLock<Bounds>,
-    stop_deadline: OnceLock<Instant>,
+    /// When the order to stop came, and until when this instance serves.
+    stop_times: OnceLock<(Instant, Instant)>,
 }
 
 impl RouteInstance {
     /// The time until this instance stops serving; `None` unless it is stopping.
     pub fn time_to_stop(&self) -> Option<Duration> {
-        self.stop_deadline.get().map(|at| at.saturating_duration_since(Instant::now()))
+        self.stop_times.get().map(|(_, until)| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// The time since the order to stop, in milliseconds; 0 before it.
+    pub fn stopping_ms(&self) -> Millis {
+        self.stop_times.get().map_or(0, |(since, _)| since.elapsed().as_millis() as Millis)
     }
 
     /// The current bounds, which change when the settings are reloaded.
@@ -135,7 +141,7 @@
         draining: cancel.child_token(),
         giving_up: cancel.child_token(),
         bounds: RwLock::new(deployment.bounds),
-        stop_deadline: OnceLock::new(),
+        stop_times: OnceLock::new(),
         deployment,
     });
     tokio::spawn(jobs::run(daemon.clone(), job_queue, cancel.child_token()));
@@ -300,7 +306,7 @@
     let stop_time = Instant::now();
     let daemon = &instance.daemon;
     let max_time = millis(instance.bounds().grace_ms).saturating_sub(GRACE_MARGIN);
-    let _ = instance.stop_deadline.set(stop_time + max_time);
+    let _ = instance.stop_times.set((stop_time, stop_time + max_time));
     let active = daemon.active.load(Ordering::Acquire);
     spdlog::info!("leaving", kv: { active, most_ms = max_time.as_millis() as u64 });
     daemon.leave();
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -267,7 +267,8 @@
     let request_info = (instance.deployment.callers.decode)(headers);
     let max_output = request_info.size.map_or(u32::MAX, |s| s.max_tokens);
     let hint = request_info.length_hint.unwrap_or(0);
-    if leaving::can_finish(left.as_millis() as u64, route.kind, max_output, hint) {
+    let (left_ms, stopping_ms) = (left.as_millis() as u64, instance.stopping_ms());
+    if leaving::can_finish(left_ms, stopping_ms, route.kind, max_output, hint) {
         return Ok(());
     }
     Err(stopping(instance))
