Bound the bytes before the head of an answer

The library bounds one head and reads any number of interim responses, so a server that repeats them kept an attempt and the processor busy until the deadline, 20 s on the route of that call. Shown by: the test now asks for 502 wherever the endless part is not the body; it failed with 504 for interim responses, on a quiet machine, before the change. Change: from the request to the head a connection may carry 128 KiB (head_limit.rs). The test waits until the instance knows that the noisy server is gone before it calls another, since a slow one may hold a call that long. The product's own interface bounds such heads by time only.

--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod follow;
 pub mod front;
 pub mod generation;
+pub mod head_limit;
 pub mod instances;
 pub mod jobs;
 pub mod log;
--- a/agaterouted/src/upstream.rs
+++ b/agaterouted/src/upstream.rs
@@ -20,6 +20,7 @@
 use tokio::task::AbortHandle;
 
 use crate::daemon::ServerRef;
+use crate::head_limit::{HeadLimit, LimitedStream};
 
 /// Connecting takes a few milliseconds between availability zones of a region. A lost packet is sent
 /// again only after a second, so it is better to use another server.
@@ -52,6 +53,7 @@
 struct Idle {
     sender: Sender,
     task: AbortHandle,
+    limit: HeadLimit,
     expires: Instant,
 }
 
@@ -73,6 +75,7 @@
     address: String,
     sender: Option<Sender>,
     task: AbortHandle,
+    limit: HeadLimit,
 }
 
 impl Drop for Connection {
@@ -119,8 +122,12 @@
         let now = Instant::now();
         while let Some(found) = idle.pop() {
             if found.expires > now && found.sender.is_ready() {
-                let sender = Some(found.sender);
-                return Some(Connection { address: address.to_owned(), sender, task: found.task });
+                return Some(Connection {
+                    address: address.to_owned(),
+                    sender: Some(found.sender),
+                    task: found.task,
+                    limit: found.limit,
+                });
             }
             found.task.abort();
         }
@@ -133,8 +140,12 @@
         let idle_timeout =
             keep_alive.map_or(IDLE_TIMEOUT, |k| k.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT));
         let Some(sender) = connection.sender.take() else { return };
-        let idle =
-            Idle { sender, task: connection.task.clone(), expires: Instant::now() + idle_timeout };
+        let idle = Idle {
+            sender,
+            task: connection.task.clone(),
+            limit: connection.limit.clone(),
+            expires: Instant::now() + idle_timeout,
+        };
         let mut pools = self.lock();
         let pool = pools.entry(connection.address.clone(), Vec::new);
         pool.push(idle);
@@ -171,8 +182,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("nodelay_not_set", kv: { address, error: });
     }
-    let handshake =
-        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
+    let limit = HeadLimit::default();
+    let io = TokioIo::new(LimitedStream::new(stream, limit.clone()));
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
     let (sender, driver) = handshake.map_err(SendError::NotSent)?;
     let address = address.to_owned();
     let peer = address.clone();
@@ -181,7 +193,7 @@
             spdlog::debug!("connection_ended", kv: { server: = peer.as_str(), error: });
         }
     });
-    Ok(Connection { address, sender: Some(sender), task: task.abort_handle() })
+    Ok(Connection { address, sender: Some(sender), task: task.abort_handle(), limit })
 }
 
 type Unsent = Option<Request<Full<Bytes>>>;
@@ -193,7 +205,10 @@
     let Some(sender) = &mut connection.sender else {
         unreachable!("the sender is there until drop")
     };
-    sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
+    connection.limit.start();
+    let answer = sender.try_send_request(request).await;
+    connection.limit.end();
+    answer.map_err(|mut e| match e.take_message() {
         Some(unsent) => (SendError::NotSent(e.into_error()), Some(unsent)),
         None => (SendError::Lost(e.into_error()), None),
     })
--- a/agaterouted/tests/endless.rs
+++ b/agaterouted/tests/endless.rs
@@ -4,7 +4,7 @@
 mod platform_fixture;
 
 use agateroute_standin::{self as standin, EndlessServer, Part};
-use agatestand::instance::{Answer, Instance, eventually};
+use agatestand::instance::{Answer, Instance, eventually, field};
 use futures_util::future::join_all;
 use http::StatusCode;
 use platform_fixture::{TestPlatform, start_platform};
@@ -35,13 +35,21 @@
     (platform, server, instance)
 }
 
+/// The number of backend servers that the instance uses.
+fn servers(instance: &Instance) -> String {
+    field(&instance.find("event=servers_in_force").unwrap_or_default(), "servers")
+}
+
 /// Checks that the server's connections were closed, and that the instance goes on with another server.
 async fn goes_on(platform: &TestPlatform, server: &EndlessServer, instance: &Instance) {
     eventually("all connections are closed", async || server.closed() == server.opened()).await;
     assert!(server.opened() > 0);
-    standin::unlist(&platform.store, "noisy");
     let cancel = &platform.cancel;
     let _sound = standin::Server::start(&platform.store, "sound", "ledger", 0, cancel).await;
+    eventually("the other server is known", async || servers(instance) != "1").await;
+    standin::unlist(&platform.store, "noisy");
+    // A call that reached the noisy server could take until its deadline.
+    eventually("only the other server is known", async || servers(instance) == "1").await;
     eventually("another server answers", async || {
         instance.call("POST", "/order/", "yew-key", "").await.status == StatusCode::OK
     })
@@ -65,8 +73,14 @@
     let check = async |part: Part| {
         let (platform, server, instance) = start("ledger", part, false).await;
         let answer = call_hasty(&platform, &instance).await;
-        let lost = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT].contains(&answer.status);
-        assert!(lost, "{part:?}: {}", answer.status);
+        // Few bytes are accepted outside a body, so that ends long before the timeout. A body may take until then.
+        let in_body = [Part::Chunks, Part::SizedBody, Part::UnsizedBody].contains(&part);
+        let timed_out = answer.status == StatusCode::GATEWAY_TIMEOUT;
+        assert!(
+            answer.status == StatusCode::BAD_GATEWAY || in_body && timed_out,
+            "{part:?}: {}",
+            answer.status
+        );
         goes_on(&platform, &server, &instance).await;
     };
     join_all(PLAIN_PARTS.map(check)).await;
