--- a/agaterouted/tests/broken_streams.rs
+++ b/agaterouted/tests/broken_streams.rs
@@ -8,6 +8,8 @@
 use http::StatusCode;
 use http_body_util::Full;
 use platform_fixture::{TestPlatform, start_platform};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const FRAMINGS: [Framing; 3] = [Framing::Unsized, Framing::Sized, Framing::Chunked];
 /// The number of events of a whole stream.
@@ -210,6 +212,20 @@
     }
 }
 
+/// Guards against a stream without a length that looks complete because its server crashed between two events.
+#[tokio::test]
+async fn crash_between_events() {
+    let crash = RawStream { ending: Ending::Crash, ..broken(Framing::Unsized, "") };
+    let (_platform, servers, instance) = start(&[crash, whole(Framing::Unsized)]).await;
+    check_whole(&call(&instance, RESUMABLE).await, "resumed after a crash");
+    check_resumed(&servers, "resumed after a crash");
+    let (_platform, servers, instance) = start(&[crash]).await;
+    let answer = call(&instance, PLAIN).await;
+    assert!(!answer.complete, "{answer:?}");
+    assert_eq!(answer.event_ids(), [1, 2, 3]);
+    check_count(&servers, &instance, 1);
+}
+
 #[tokio::test]
 async fn plain_answers_unchanged() {
     // Only streams have events. A plain answer without a length is whole where its connection ends.
@@ -266,3 +282,34 @@
         assert_eq!(servers.requests().len(), 1, "{framing:?}");
     }
 }
+
+/// Sends a request as HTTP/1.0, where the end of a body without a length is the end of its connection. Returns the
+/// bytes of the answer, and whether the connection ended in order.
+async fn call_http10(instance: &Instance, path: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(&*instance.listen).await.expect("a connection");
+    let request = format!(
+        "POST {path} HTTP/1.0\r\nhost: {}\r\n{}: http10\r\nauthorization: {}\r\ncontent-length: 0\r\n\r\n",
+        standin::HOST,
+        standin::REQUEST_ID_HEADER,
+        standin::authorization("yew-key"),
+    );
+    stream.write_all(request.as_bytes()).await.expect("the request is sent");
+    let mut bytes = Vec::new();
+    let ended = stream.read_to_end(&mut bytes).await;
+    (String::from_utf8_lossy(&bytes).into_owned(), ended.is_ok())
+}
+
+/// Guards against a stream that is broken off and looks complete to a caller of HTTP/1.0.
+#[tokio::test]
+async fn http10_break_not_complete() {
+    let (_platform, servers, instance) =
+        start(&[broken(Framing::Chunked, "id: 4\nda"), whole(Framing::Chunked)]).await;
+    let (_, complete) = call_http10(&instance, PLAIN).await;
+    assert!(!complete, "the connection ended in order");
+    let (answer, complete) = call_http10(&instance, PLAIN).await;
+    assert!(complete, "{answer}");
+    let (_, body) = answer.split_once("\r\n\r\n").expect("a head");
+    let events: String = (1..=EVENTS).map(|n| format!("id: {n}\ndata: event {n}\n\n")).collect();
+    assert_eq!(body, events);
+    check_count(&servers, &instance, 2);
+}
