Reset the connection of a broken stream to a caller of HTTP/1.0

Callers of HTTP/1.0 saw a stream that was broken off end in order. Cause: HTTP/1.0 has no chunks, so a body without a length ends with its connection. When the relay aborts the body, or the process is killed, the kernel closes that connection in order. Change: while such an answer is under way, closing its socket resets the connection (linger of zero); this ends with the body. A kill of the process goes through the same option and has no test of its own.

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -6,13 +6,13 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -20,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -84,6 +85,8 @@
     instance: Arc<RouteInstance>,
     /// The state, and when the connection was last written to or became idle.
     state: Mutex<(ConnectionState, Instant)>,
+    /// Whether an answer is under way whose end only the end of this connection marks.
+    ends_answer: AtomicBool,
 }
 
 impl ConnectionActivity {
@@ -91,6 +94,7 @@
         ConnectionActivity {
             instance,
             state: Mutex::new((ConnectionState::Idle(None), Instant::now())),
+            ends_answer: AtomicBool::new(false),
         }
     }
 
@@ -156,7 +160,7 @@
         spdlog::debug!("nodelay_not_set", kv: { error: });
     }
     let activity = Arc::new(ConnectionActivity::new(instance.clone()));
-    let io = TrackedIo { io: TokioIo::new(stream), activity: activity.clone() };
+    let io = TrackedIo { io: TokioIo::new(stream), activity: activity.clone(), resets: false };
     let limits = instance.daemon.config().document.limits.clone();
     let max_head_bytes =
         (limits.header_bytes as usize * 2).clamp(MIN_HEAD_BUFFER_BYTES, MAX_HEAD_BUFFER_BYTES);
@@ -201,8 +205,11 @@
 ) -> Result<Response<TrackedBody>, Infallible> {
     activity.request_started();
     instance.busy_requests.fetch_add(1, Ordering::AcqRel);
+    let has_chunks = request.version() > Version::HTTP_10;
     let guard = BusyGuard { instance: instance.clone(), activity };
     let response = serve::handle(instance, request).await;
+    let ends_answer = !has_chunks && response.body().size_hint().exact().is_none();
+    guard.activity.ends_answer.store(ends_answer, Ordering::Release);
     Ok(response.map(|body| TrackedBody { body, guard }))
 }
 
@@ -222,7 +229,7 @@
 /// A response body that keeps its request marked as running until dropped.
 pub struct TrackedBody {
     body: BoxBody,
-    #[allow(dead_code, reason = "its drop marks the request as ended")]
+    /// Marks the request as ended when it is dropped.
     guard: BusyGuard,
 }
 
@@ -234,7 +241,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(frame, Poll::Ready(None)) {
+            self.guard.activity.ends_answer.store(false, Ordering::Release);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -250,9 +261,25 @@
 struct TrackedIo {
     io: TokioIo<TcpStream>,
     activity: Arc<ConnectionActivity>,
+    /// Whether closing the socket resets the connection.
+    resets: bool,
 }
 
 impl TrackedIo {
+    /// Has the socket reset its connection, also when this process is killed, while the end of the connection would look
+    /// like the end of an answer.
+    fn update_linger(&mut self) {
+        let resets = self.activity.ends_answer.load(Ordering::Acquire);
+        if resets == self.resets {
+            return;
+        }
+        self.resets = resets;
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(self.io.inner()).set_linger(linger) {
+            spdlog::warn!("linger_not_set", kv: { resets, error: });
+        }
+    }
+
     fn record_written(&self, written: &Poll<std::io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(_))) {
             self.activity.bytes_written();
@@ -280,6 +307,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.update_linger();
         let written = Pin::new(&mut self.io).poll_write(cx, buf);
         self.record_written(&written);
         written
@@ -295,6 +323,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.update_linger();
         Pin::new(&mut self.io).poll_shutdown(cx)
     }
 
@@ -307,6 +336,7 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
+        self.update_linger();
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
         self.record_written(&written);
         written
