Cut streams without a length whose server crashed between two events

Callers saw a stream that was broken off as complete. Ruled out: asking whether the server accepts a connection in time, which takes a lost packet for a crash; only a refused connection shows that the process is gone. Change: at the end of such a stream the relay waits 30 ms, as for other cuts, and asks for a connection; if it is refused the stream is cut, and goes on elsewhere where its route allows it.

--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::upstream::{Connection, SendError};
 
 /// After a lost connection, a server that is crashing has closed its port within this time.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
+pub const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
 
 /// What happened to a request that was sent to one backend server.
 pub enum Attempt {
--- a/agaterouted/src/stream_relay.rs
+++ b/agaterouted/src/stream_relay.rs
@@ -119,6 +119,14 @@
         loop {
             let began = Instant::now();
             let end = self.forward_events(&mut stream).await;
+            let end = match end {
+                StreamEnd::Complete
+                    if stream.ends_with_connection() && self.server_refuses().await =>
+                {
+                    StreamEnd::Cut("the server was gone at the end of its answer".to_owned())
+                }
+                end => end,
+            };
             let next = match end {
                 StreamEnd::Complete => {
                     self.finish(stream, opened).await;
@@ -157,6 +165,13 @@
         }
     }
 
+    /// Whether the server refuses connections: a process that crashes closes its connections as one that has sent its
+    /// whole answer does. A connection that is not made in time shows nothing.
+    async fn server_refuses(&self) -> bool {
+        tokio::time::sleep(attempt::CRASH_CHECK_DELAY).await;
+        self.instance.upstream.refuses_connections(&self.request.server).await
+    }
+
     fn tokens(&self) -> u32 {
         (self.splitter.events() as u32).saturating_mul(self.event_tokens)
     }
--- a/agaterouted/src/upstream.rs
+++ b/agaterouted/src/upstream.rs
@@ -6,6 +6,7 @@
 //! routes".
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -173,6 +174,12 @@
     pub async fn accepts_connections(&self, server: &ServerRef) -> bool {
         connect(&server.address).await.is_ok()
     }
+
+    /// Whether a server refuses a new connection, so that its process is gone.
+    pub async fn refuses_connections(&self, server: &ServerRef) -> bool {
+        let connected = connect(&server.address).await;
+        matches!(connected, Err(SendError::NotConnected(e)) if e.kind() == ErrorKind::ConnectionRefused)
+    }
 }
 
 async fn connect(address: &str) -> Result<Connection, SendError> {
