--- a/agaterouted/src/upstream.rs
+++ b/agaterouted/src/upstream.rs
@@ -183,7 +183,7 @@
 }
 
 async fn connect(address: &str) -> Result<Connection, SendError> {
-    let timeout = std::io::Error::from(std::io::ErrorKind::TimedOut);
+    let timeout = std::io::Error::from(ErrorKind::TimedOut);
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.unwrap_or(Err(timeout)).map_err(SendError::NotConnected)?;
     if let Err(error) = stream.set_nodelay(true) {
