--- a/agateroute_adapter/src/caller.rs
+++ b/agateroute_adapter/src/caller.rs
@@ -29,6 +29,8 @@
     pub length_hint: Option<u32>,
     /// The id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The request id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<&'a str>,
 }
 
 /// The size of a generation that the caller declares.
--- a/agateroute_config/src/server.rs
+++ b/agateroute_config/src/server.rs
@@ -11,6 +11,9 @@
         /// The availability zone.
         #[schemars(length(min = 1))]
         pub zone: String,
+        /// The version of its software, empty if it is not known. A stream goes on only at the version that began it.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        pub version: String,
         /// Whether the server refuses load orders and calls with an outdated fencing number.
         #[serde(default)]
         pub fencing: Fencing,
--- a/agateroute_core/src/roster.rs
+++ b/agateroute_core/src/roster.rs
@@ -36,6 +36,8 @@
         pub address: String,
         /// The availability zone.
         pub zone: String,
+        /// The version of the server's software, empty if it is not known.
+        pub version: String,
         /// The maximum number of concurrent requests.
         pub slots: u32,
         /// Whether the server takes new work.
--- a/agateroute_core/src/server_list.rs
+++ b/agateroute_core/src/server_list.rs
@@ -116,8 +116,9 @@
 
 /// The digest of an entry, without the number of times that it was written.
 fn digest(listing: &Listing) -> u64 {
-    let Listing { name, service, address, zone, slots, ready, start_ms, writes: _ } = listing;
-    let texts = [name, service, address, zone].into_iter();
+    let Listing { name, service, address, zone, version, slots, ready, start_ms, writes: _ } =
+        listing;
+    let texts = [name, service, address, zone, version].into_iter();
     let hash = texts.fold(0, |hash: Id, text| mix(hash, id_of_bytes(text.as_bytes())));
     mix(mix(hash, u64::from(*slots) * 2 + u64::from(*ready)), *start_ms)
 }
--- a/agateroute_core/tests/restore.rs
+++ b/agateroute_core/tests/restore.rs
@@ -94,7 +94,8 @@
 fn listing(name: &str, ready: bool, start_ms: u64, writes: u64) -> Listing {
     let (name, service) = (name.to_owned(), "orders".to_owned());
     let (address, zone) = ("10.0.0.1:80".to_owned(), "a".to_owned());
-    Listing { name, service, address, zone, slots: 6, ready, start_ms, writes }
+    let version = "v1".to_owned();
+    Listing { name, service, address, zone, version, slots: 6, ready, start_ms, writes }
 }
 
 fn ready(roster: &Roster) -> Vec<&str> {
--- a/agateroute_core/tests/roster.rs
+++ b/agateroute_core/tests/roster.rs
@@ -9,6 +9,7 @@
         service: "orders".to_owned(),
         address: "10.0.0.1:80".to_owned(),
         zone: "a".to_owned(),
+        version: "v1".to_owned(),
         slots: 6,
         ready,
         start_ms: 1,
--- a/agateroute_core/tests/server_list.rs
+++ b/agateroute_core/tests/server_list.rs
@@ -18,6 +18,7 @@
         service: "orders".to_owned(),
         address: "10.0.0.1:80".to_owned(),
         zone: "a".to_owned(),
+        version: "v1".to_owned(),
         slots: 6,
         ready: true,
         start_ms,
--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -103,7 +103,7 @@
         attempt = exchange => attempt,
         () = instance.giving_up.cancelled() => Attempt::TimedOut,
     };
-    log_attempt(instance, call, server, &attempt, started);
+    log_attempt(instance, call, server, (&attempt, resume.last_event), started);
     attempt
 }
 
@@ -215,9 +215,10 @@
     instance: &RouteInstance,
     call: &RouteCall,
     server: &ServerRef,
-    attempt: &Attempt,
+    (attempt, last_event): (&Attempt, Option<u64>),
     started: Instant,
 ) {
+    let caller = (instance.deployment.callers.decode)(&call.headers);
     let (outcome, status) = match attempt {
         Attempt::Answered(answer) => ("answered", answer.head.status.as_u16()),
         Attempt::Streaming(stream) => ("streams", stream.head.status.as_u16()),
@@ -238,6 +239,9 @@
         request: = &*call.id,
         route: = call.route.name.as_str(),
         server: = &*server.name,
+        software: = &*server.version,
+        resumes: = caller.resumes.unwrap_or("-"),
+        after_event = last_event.or(caller.last_event).unwrap_or(0),
         outcome,
         status,
         took_ms = started.elapsed().as_millis() as u64,
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -20,9 +20,10 @@
 
 use crate::claims;
 use crate::client::single_use_client;
-use crate::daemon::{Admission, Daemon, Permit, ServerRef, millis};
+use crate::daemon::{Admission, Daemon, ServerRef, millis};
 use crate::error::ApiError;
 use crate::front::{Caller, rank_targets};
+use crate::permit::Permit;
 use crate::plain::{HTTP, IDEMPOTENCY_KEY_HEADER, OutgoingCall, is_forwarded};
 use crate::request_tracker::{FinalOutcome, RequestIdentity, Tracker};
 use crate::telemetry::{end_span, inject};
--- a/agaterouted/src/compose.rs
+++ b/agaterouted/src/compose.rs
@@ -58,6 +58,7 @@
         name: listing.name.clone(),
         address: listing.address.clone(),
         zone: listing.zone.clone(),
+        version: listing.version.clone(),
         fencing: Fencing::Ignores,
         engine,
         plain,
@@ -80,6 +81,9 @@
     service: String,
     address: String,
     zone: String,
+    /// Absent from peers that do not know versions.
+    #[serde(default)]
+    version: String,
     slots: u32,
     born: u64,
 }
@@ -114,6 +118,7 @@
             service: listing.service.clone(),
             address: listing.address.clone(),
             zone: listing.zone.clone(),
+            version: listing.version.clone(),
             slots: listing.slots,
             born: listing.start_ms,
         }
@@ -126,6 +131,7 @@
             service: self.service,
             address: self.address,
             zone: self.zone,
+            version: self.version,
             slots: self.slots,
             ready: true,
             start_ms: self.born,
--- a/agaterouted/src/daemon.rs
+++ b/agaterouted/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use agateroute_config::{Document, Settings};
 use agateroute_core::effect::Refusal;
-use agateroute_core::event::{End, RequestId, RequestSpec};
+use agateroute_core::event::{RequestId, RequestSpec};
 use agateroute_core::id::Millis;
 use agateroute_core::membership::Peer;
 use agateroute_core::routes::RouteTable;
@@ -19,6 +19,7 @@
 use crate::auth::KeyRing;
 use crate::fleet::FleetView;
 use crate::jobs::Job;
+use crate::permit::Permit;
 use crate::platform::Platform;
 use crate::snapshot::Snapshot;
 use crate::tallies::TallyStore;
@@ -48,6 +49,8 @@
     pub name: Arc<str>,
     /// The address as `IP:PORT`.
     pub address: Arc<str>,
+    /// The version of the server's software, empty if it is not known.
+    pub version: Arc<str>,
     /// Whether the server is a model engine rather than a plain server.
     pub engine: bool,
 }
@@ -76,12 +79,14 @@
 
 /// The state of the reducer and the channels on which its effects go out, under one lock.
 #[derive(Debug)]
-struct Inner {
+pub(crate) struct Inner {
     state: State,
-    waiters: Table<RequestId, mpsc::UnboundedSender<Admission>>,
+    /// The channels on which requests hear of decisions about them.
+    pub(crate) waiters: Table<RequestId, mpsc::UnboundedSender<Admission>>,
     claims: Table<RequestId, oneshot::Sender<(ClaimOutcome, String)>>,
     links: Table<Id, Link>,
-    active_counts: Table<Id, u32>,
+    /// The requests in progress of each organisation.
+    pub(crate) active_counts: Table<Id, u32>,
     cache_cursors: Table<Id, u64>,
     jobs: mpsc::UnboundedSender<Job>,
     tally_store: Arc<TallyStore>,
@@ -177,7 +182,8 @@
         self.started.elapsed().as_millis() as Millis
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    /// Locks the reducer and its channels.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -282,7 +288,7 @@
         let request = spec.request;
         self.lock().waiters.insert(request, sender);
         self.apply(Event::Arrived(spec));
-        Permit { daemon: self.clone(), request, admissions, running: false, tokens: 0 }
+        Permit::new(self, request, admissions)
     }
 
     /// Writes or settles a claim. Returns the outcome and the record that is stored.
@@ -424,6 +430,7 @@
                 id: id(&s.name),
                 name: s.name.as_str().into(),
                 address: s.address.as_str().into(),
+                version: s.version.as_str().into(),
                 engine: s.engine.is_some(),
             };
             (server.id, server)
@@ -452,147 +459,6 @@
     }
 }
 
-/// A queued or running request in the reducer. Dropping it frees the queue place or the server.
-#[derive(Debug)]
-pub struct Permit {
-    daemon: Arc<Daemon>,
-    request: RequestId,
-    admissions: mpsc::UnboundedReceiver<Admission>,
-    running: bool,
-    tokens: u32,
-}
-
-impl Permit {
-    /// Waits for the reducer's next decision about the request.
-    pub async fn admission(&mut self) -> Admission {
-        let admission = self.admissions.recv().await;
-        let admission = admission.unwrap_or(Admission::Refuse(Refusal::Failed, 0));
-        self.record(admission);
-        admission
-    }
-
-    fn record(&mut self, admission: Admission) {
-        match admission {
-            Admission::Start(_) => self.running = true,
-            Admission::Refuse(..) => self.running = false,
-            Admission::Move(..) => {}
-        }
-    }
-
-    /// Reports that the generation's memory is copied to the destination of its move.
-    pub fn move_copied(&mut self) {
-        self.daemon.apply(Event::MoveCopied { request: self.request });
-    }
-
-    /// Reports the end of a move. If the generation moved, it takes the request identifier of the
-    /// destination's permit.
-    pub fn move_ended(&mut self, permit: RequestId, moved: bool) {
-        let request = self.request;
-        if moved {
-            let mut inner = self.daemon.lock();
-            if let Some(waiter) = inner.waiters.remove(&request) {
-                inner.waiters.insert(permit, waiter);
-            }
-            self.request = permit;
-        }
-        self.daemon.apply(Event::MoveEnded { request, permit, moved });
-    }
-
-    /// Reports to the reducer that the answer began.
-    pub fn began(&self) {
-        self.daemon.apply(Event::AnswerBegan { request: self.request });
-    }
-
-    /// Reports the number of tokens generated so far to the reducer.
-    pub fn progress(&mut self, tokens: u32) {
-        self.tokens = tokens;
-        self.daemon.apply(Event::Progressed { request: self.request, tokens });
-    }
-
-    /// Stores the number of tokens, which is reported only if the permit is dropped.
-    pub fn set_tokens(&mut self, tokens: u32) {
-        self.tokens = tokens;
-    }
-
-    /// Ends the attempt. Another decision follows if the request may be retried.
-    pub fn end(&mut self, end: End) {
-        if std::mem::take(&mut self.running) {
-            self.daemon.apply(Event::Ended { request: self.request, end });
-        }
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let request = self.request;
-        self.daemon.lock().waiters.remove(&request);
-        while let Ok(admission) = self.admissions.try_recv() {
-            self.record(admission);
-        }
-        if self.running {
-            self.end(End::Cancelled { tokens: self.tokens });
-        } else {
-            self.daemon.apply(Event::Abandoned { request });
-        }
-    }
-}
-
-/// Counts a request as in progress, for the instance and its organisation, until dropped.
-#[derive(Debug)]
-pub struct ActiveGuard {
-    daemon: Arc<Daemon>,
-    organisation: Id,
-}
-
-impl ActiveGuard {
-    /// Counts a request, unless its organisation already has `limit` requests in progress here.
-    pub fn new(daemon: &Arc<Daemon>, organisation: Id, limit: u32) -> Option<ActiveGuard> {
-        let mut inner = daemon.lock();
-        let count = inner.active_counts.entry(organisation, || 0);
-        if *count >= limit {
-            return None;
-        }
-        *count += 1;
-        drop(inner);
-        daemon.active.fetch_add(1, Ordering::AcqRel);
-        daemon.telemetry.active.add(1, &[]);
-        Some(ActiveGuard { daemon: daemon.clone(), organisation })
-    }
-}
-
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        let mut inner = self.daemon.lock();
-        if let Some(count) = inner.active_counts.get_mut(&self.organisation) {
-            *count -= 1;
-            if *count == 0 {
-                inner.active_counts.remove(&self.organisation);
-            }
-        }
-        drop(inner);
-        self.daemon.active.fetch_sub(1, Ordering::AcqRel);
-        self.daemon.telemetry.active.add(-1, &[]);
-    }
-}
-
-/// Counts a request on the product's own interface from its head to the start of its answer, until dropped.
-#[derive(Debug)]
-pub struct ArrivalGuard(Arc<Daemon>);
-
-impl ArrivalGuard {
-    /// Counts a request whose head has arrived.
-    pub fn new(daemon: &Arc<Daemon>) -> ArrivalGuard {
-        daemon.arriving.fetch_add(1, Ordering::AcqRel);
-        ArrivalGuard(daemon.clone())
-    }
-}
-
-impl Drop for ArrivalGuard {
-    fn drop(&mut self) {
-        self.0.arriving.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Converts milliseconds from the document or the settings.
 pub fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
--- a/agaterouted/src/front.rs
+++ b/agaterouted/src/front.rs
@@ -16,9 +16,10 @@
 use crate::auth::bearer_key;
 use crate::body::read_body;
 use crate::call::{self, CallRequest};
-use crate::daemon::{ArrivalGuard, Config, Daemon, millis};
+use crate::daemon::{Config, Daemon, millis};
 use crate::error::ApiError;
 use crate::generation::{self, json_response};
+use crate::permit::ArrivalGuard;
 use crate::request_tracker::LatencyTargets;
 use crate::telemetry::{end_span, extract};
 
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -17,10 +17,11 @@
 use xitca_web::http::WebResponse;
 
 use crate::collect::AnswerCollector;
-use crate::daemon::{Admission, Config, Daemon, Permit};
+use crate::daemon::{Admission, Config, Daemon};
 use crate::engine::StartRequest;
 use crate::error::ApiError;
 use crate::front::{Caller, rank_targets};
+use crate::permit::Permit;
 use crate::request_tracker::{FinalOutcome, RequestIdentity, Tracker};
 use crate::stream::{CallerStream, Generation, OpenError, Output, generation_lost, sse_frame};
 use crate::telemetry::end_span;
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod memory_copy;
 pub mod ops;
 pub mod peers;
+pub mod permit;
 pub mod plain;
 pub mod platform;
 pub mod poll;
--- a/agaterouted/src/request_tracker.rs
+++ b/agaterouted/src/request_tracker.rs
@@ -9,8 +9,9 @@
 use opentelemetry::{Context, KeyValue};
 
 use crate::clock::{day_of, unix_seconds};
-use crate::daemon::{ActiveGuard, Daemon};
+use crate::daemon::Daemon;
 use crate::error::ApiError;
+use crate::permit::ActiveGuard;
 use crate::telemetry::end_span;
 
 /// A stream is on time if at most one in this many gaps between its tokens exceeds the target.
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -25,9 +25,10 @@
 use tokio::time::Instant;
 
 use crate::attempt::{self, Answer, Attempt, Resume};
-use crate::daemon::{Admission, Config, Permit, ServerRef, millis};
+use crate::daemon::{Admission, Config, ServerRef, millis};
 use crate::error::{ApiError, OUTCOME_HEADER, Outcome};
 use crate::front::check_header_limits;
+use crate::permit::Permit;
 use crate::request_tracker::{FinalOutcome, LatencyTargets, RequestIdentity, Tracker};
 use crate::route_instance::RouteInstance;
 use crate::route_listener::{BoxBody, full_body};
--- a/agaterouted/src/stream.rs
+++ b/agaterouted/src/stream.rs
@@ -19,9 +19,10 @@
 use sse_stream::{Sse, SseByteStream};
 
 use crate::client::{HttpClient, client, is_connection_refused};
-use crate::daemon::{Daemon, Permit, ServerRef, millis};
+use crate::daemon::{Daemon, ServerRef, millis};
 use crate::engine::{DONE_MARK, OPENAI, StartRequest, Usage};
 use crate::error::{ApiError, Outcome};
+use crate::permit::Permit;
 use crate::request_tracker::{FinalOutcome, Tracker};
 use crate::telemetry::{end_span, inject};
 
--- a/agaterouted/src/stream_relay.rs
+++ b/agaterouted/src/stream_relay.rs
@@ -20,8 +20,9 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::attempt::{self, Attempt, Resume, Stream};
-use crate::daemon::{Admission, Permit, ServerRef, millis};
+use crate::daemon::{Admission, ServerRef, millis};
 use crate::memory_copy::copy;
+use crate::permit::Permit;
 use crate::request_tracker::{FinalOutcome, Tracker};
 use crate::route_instance::RouteInstance;
 use crate::route_listener::{BodyError, BoxBody};
@@ -435,6 +436,7 @@
         spdlog::warn!("stream_cut", kv: {
             request: = &*self.request.call.id,
             server: = &*self.request.server.name,
+            software: = &*self.request.server.version,
             events = self.splitter.events(),
             crashed = signal == ServerSignal::Crashed,
             cause,
