Continue a stream only at the software version that began it

Cause: the reducer knew servers by service only, so a cut stream was resumed and a generation moved at any of them. Change: the version of the server that holds the permit is kept with the first progress of an answer; from then on only servers of that version are asked for a permit, for a resume, a move and the fall-back after a move, and a permit is returned if its server's version changed meanwhile. A server that is listed with another version under its id leaves the version of what runs there unknown, since the list lags; such a stream goes on nowhere else. Before the first event any version may serve. Ruled out: to look the version up when the stream is cut, which takes today's entry of the id for that of the attempt. Core tests, moves.rs and broken_streams.rs pass.

--- a/agateroute_core/src/catalog.rs
+++ b/agateroute_core/src/catalog.rs
@@ -7,6 +7,7 @@
 
 use crate::Table;
 use crate::id::{Id, id};
+use crate::placement::UNKNOWN_VERSION;
 
 record! {
     /// The properties of a backend server that admission and routing need.
@@ -17,6 +18,8 @@
         pub capacity: Capacity,
         /// The availability zone.
         pub zone: Id,
+        /// The identifier of the version of the server's software, [`UNKNOWN_VERSION`] if it is not known.
+        pub version: Id,
     }
 
     /// The latency targets and the floor of a rank.
@@ -73,7 +76,9 @@
                 (None, Some(p)) => Capacity::Slots { slots: p.slots, adaptive: p.adaptive },
                 (None, None) => Capacity::Slots { slots: 1, adaptive: true },
             };
-            (id(&s.name), ServerInfo { name: s.name.clone(), capacity, zone: id(&s.zone) })
+            let version = if s.version.is_empty() { UNKNOWN_VERSION } else { id(&s.version) };
+            let info = ServerInfo { name: s.name.clone(), capacity, zone: id(&s.zone), version };
+            (id(&s.name), info)
         });
         let models = document.models.iter().map(|m| {
             let runs = document.servers.iter().filter(|s| s.runs_model(&m.name));
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -9,7 +9,6 @@
 use crate::effect::{Effect, Refusal};
 use crate::event::{End, RequestId, RequestSpec, ServerSignal};
 use crate::id::{Id, Millis};
-use crate::rendezvous;
 use crate::retry::Allowance;
 use crate::state::State;
 use crate::suspect::SuspectStatus;
@@ -19,13 +18,6 @@
 const HEDGE_MS: Millis = 25;
 /// The maximum number of servers from which one request waits for a permit at the same time.
 const MAX_PERMIT_REQUESTS: usize = 4;
-/// The number of servers sampled at random, of which the least loaded is chosen.
-const SAMPLE_SIZE: usize = 12;
-/// The extra cost of a migration into another availability zone, in thousandths of a server's
-/// capacity: a copy between zones takes twice as long.
-const CROSS_ZONE_COST: u32 = 600;
-/// How far above the mean load the server with the cached prefix is still preferred, in thousandths.
-const MAX_PREFIX_EXCESS: u32 = 250;
 /// The number of tokens between two progress reports to the owner.
 const PROGRESS_TOKENS: u32 = 16;
 /// The retry delay given to callers when no owner suggested one, in milliseconds.
@@ -62,6 +54,8 @@
         pub spec: RequestSpec,
         /// The backend server that runs the request.
         pub server: Id,
+        /// The software version of the server when the permit was granted.
+        pub version: Id,
         /// When the permit was granted.
         pub started_at: Millis,
         /// The instance that granted the permit, or has taken the server over since.
@@ -227,46 +221,6 @@
         self.try_next_server(request);
     }
 
-    /// Chooses a server: the one that computed the prefix recently, unless its load is far above the
-    /// mean, otherwise the least loaded of a random sample. Sampling keeps the instances from all
-    /// choosing the server that was idle in the last load report.
-    fn choose_server(
-        &mut self,
-        spec: &RequestSpec,
-        excluded: &[Id],
-        alone: bool,
-        move_from: Option<Id>,
-    ) -> Option<Id> {
-        let capable = self.catalog.targets.get(&spec.target)?;
-        let usable: Vec<Id> = capable
-            .iter()
-            .copied()
-            .filter(|s| !excluded.contains(s) && self.health.usable(*s, self.now))
-            .collect();
-        if usable.is_empty() {
-            return None;
-        }
-        if alone {
-            return rendezvous::owner(spec.target, usable.into_iter());
-        }
-        let now = self.now;
-        let pressure = |s: Id| self.health.cost(s, now);
-        let mean = usable.iter().map(|s| pressure(*s)).sum::<u32>() / usable.len() as u32;
-        let cached = self.prefixes.find(spec.prefix, self.now);
-        if let Some(server) = cached.filter(|s| usable.contains(s))
-            && pressure(server) <= mean + MAX_PREFIX_EXCESS
-        {
-            return Some(server);
-        }
-        let sampled: Vec<Id> =
-            (0..SAMPLE_SIZE).map(|_| self.pick_index(usable.len())).map(|at| usable[at]).collect();
-        let zone = move_from.and_then(|from| self.zones.get(&from).copied());
-        let remote = |s: Id| zone.is_some() && self.zones.get(&s).copied() != zone;
-        let cost =
-            |s: &Id| self.health.cost(*s, now) + if remote(*s) { CROSS_ZONE_COST } else { 0 };
-        sampled.into_iter().min_by_key(cost)
-    }
-
     pub(crate) fn granted(&mut self, peer: Id, grant: &Grant) {
         self.health.set_pressure(grant.server, grant.pressure);
         let (request, server) = (grant.request, grant.server);
@@ -278,7 +232,8 @@
         }
         let expected =
             self.entry.pending.get(&request).is_some_and(|p| p.requested.contains(&(server, peer)));
-        let usable = self.health.usable(server, self.now);
+        let version = self.entry.pending.get(&request).and_then(|p| p.spec.version);
+        let usable = self.health.usable(server, self.now) && self.may_serve(server, version);
         if !expected || !usable {
             self.send(peer, Body::Withdraw(Withdraw { request, server }));
             if expected {
@@ -297,6 +252,7 @@
             started_at: self.now,
             spec: pending.spec,
             server,
+            version: self.version_of(server),
             owner: peer,
             began: false,
             first_token: None,
@@ -402,6 +358,7 @@
     pub(crate) fn progressed(&mut self, request: RequestId, tokens: u32) {
         let Some(running) = self.entry.running.get_mut(&request) else { return };
         running.tokens = running.tokens.max(tokens);
+        running.spec.version.get_or_insert(running.version);
         self.check_survival(request);
         self.start_move(request);
         let Some(running) = self.entry.running.get_mut(&request) else { return };
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -50,6 +50,9 @@
         pub movable: bool,
         /// The parts of the prompt that other requests may share, in order.
         pub parts: Arc<[Id]>,
+        /// The only software version that may serve the request, that of the server which began its stream; `None` before
+        /// the first event.
+        pub version: Option<Id>,
     }
 
     /// A load report of a backend server.
--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod memory;
 pub mod migration;
 pub mod newest;
+pub mod placement;
 pub mod prefix;
 pub mod presence;
 pub mod readers;
@@ -44,6 +45,7 @@
 pub mod suspect;
 pub mod table;
 pub mod tally;
+pub mod versions;
 
 pub use effect::Effect;
 pub use event::Event;
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -171,8 +171,9 @@
     }
 
     fn configure(&mut self, document: Arc<Document>) {
-        self.catalog = Arc::new(Catalog::new(document));
+        let former = std::mem::replace(&mut self.catalog, Arc::new(Catalog::new(document)));
         let catalog = self.catalog.clone();
+        self.forget_changed_versions(&former);
         if self.zones.len() > MAX_ZONES {
             self.zones.retain(|server, _| catalog.servers.contains(server));
         }
--- a/agateroute_core/tests/simulation/mod.rs
+++ b/agateroute_core/tests/simulation/mod.rs
@@ -62,7 +62,7 @@
     let key = |n: u32| json!([{"sha256": format!("{n:064x}")}]);
     let engine = |i| {
         json!({"name": format!("engine-{i}"), "address": "127.0.0.1:1", "zone": "a",
-            "engine": {"models": ["prose"], "memory_tokens": memory, "batch": batch}})
+            "version": "v1", "engine": {"models": ["prose"], "memory_tokens": memory, "batch": batch}})
     };
     let service = |i| {
         json!({"name": format!("service-{i}"), "address": "127.0.0.1:1", "zone": "a",
@@ -303,6 +303,7 @@
             target_deadline: 0,
             movable: false,
             parts: Arc::from([]),
+            version: None,
         }
     }
 
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -141,6 +141,7 @@
         target_deadline: 0,
         movable: false,
         parts: Arc::from([]),
+        version: None,
     }
 }
 
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -429,5 +429,6 @@
         target_deadline: 0,
         movable: false,
         parts: Arc::from([]),
+        version: None,
     }
 }
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -402,6 +402,7 @@
         hint: request_info.length_hint.unwrap_or(0),
         movable: route.kind.streams() && instance.source.capacity(route).is_some_and(|c| c.moves),
         parts: call.parts.clone(),
+        version: None,
         max_attempts: if route.kind.repeatable() { route.attempts } else { 1 },
     }
 }
--- a/agaterouted/src/stream_relay.rs
+++ b/agaterouted/src/stream_relay.rs
@@ -379,11 +379,12 @@
         self.instance.daemon.config().servers.get(&server).cloned()
     }
 
-    /// Whether a server is declared, and is not known to leave or to be unreachable.
-    fn is_usable(&self, server: Id) -> bool {
+    /// Whether a server is declared as it was when it was chosen, and is not known to leave or to be unreachable.
+    fn is_usable(&self, server: &ServerRef) -> bool {
         let daemon = &self.instance.daemon;
         let now = daemon.now();
-        self.find_server(server).is_some() && daemon.read(|state| state.health.usable(server, now))
+        self.find_server(server.id).is_some_and(|s| s.version == server.version)
+            && daemon.read(|state| state.health.usable(server.id, now))
     }
 
     /// Continues a generation from a copy of its memory: at the destination, or on the server where it
@@ -398,7 +399,7 @@
         for server in [moving.to.clone(), source.clone()] {
             let moved = server.id != source.id;
             // It was chosen before the copies, which take a while.
-            if moved && !self.is_usable(server.id) {
+            if moved && !self.is_usable(&server) {
                 spdlog::info!("destination_left", kv: {
                     request: = &*self.request.call.id,
                     server: = &*server.name,
