Continue callers' streams only at the version that began them

Callers that took a stream up again, at this instance or another, got events of another version. Cause: Last-Event-Id was passed on, and any server of the service could answer. Change: the instance that forwards the first event of a stream that may be resumed records its model and version under the caller's attempt (Resumes names it later), and tells three peers chosen by rendezvous hashing. A stopping instance hands its records to the three that stay. Who gets a resumed request looks at its own records, then whether only one version has served in the time that the stream can have lasted, then asks four peers for at most 250 ms; else the request is refused as not run. The new messages ride on the stream between peers.

--- a/agateroute_core/src/catalog.rs
+++ b/agateroute_core/src/catalog.rs
@@ -3,12 +3,17 @@
 use std::sync::Arc;
 
 use agateroute_config::Document;
+use agateroute_config::route::RouteKind;
 use agateroute_config::routing::Routing;
 
 use crate::Table;
-use crate::id::{Id, id};
+use crate::id::{Id, Millis, id};
 use crate::placement::UNKNOWN_VERSION;
 
+/// The bounds of the time for which the beginning of a stream is remembered, in milliseconds.
+const MIN_STREAM_RETENTION_MS: Millis = 60_000;
+const MAX_STREAM_RETENTION_MS: Millis = 600_000;
+
 record! {
     /// The properties of a backend server that admission and routing need.
     pub struct ServerInfo {
@@ -107,6 +112,15 @@
         &self.document.routing
     }
 
+    /// How long the beginning of a stream is remembered, in milliseconds: callers resume streams within the time limits of
+    /// their routes, which count anew for each of their attempts.
+    pub fn stream_retention_ms(&self) -> Millis {
+        let routes = self.document.routes.iter();
+        let resumable = routes.filter(|r| r.kind == RouteKind::ResumableStream);
+        let longest = resumable.map(|r| r.timeout_ms).max().unwrap_or(0);
+        longest.saturating_mul(2).clamp(MIN_STREAM_RETENTION_MS, MAX_STREAM_RETENTION_MS)
+    }
+
     /// The share of an organisation, or the minimum of 1 if the document no longer declares it.
     pub fn share(&self, organisation: Id) -> f64 {
         f64::from(self.shares.get(&organisation).copied().unwrap_or(1))
--- a/agateroute_core/src/effect.rs
+++ b/agateroute_core/src/effect.rs
@@ -20,6 +20,8 @@
         Quarantined,
         /// Attempts failed, and no further one is allowed.
         Failed,
+        /// It is not known which software version began the stream that the caller resumes.
+        StreamUnknown,
     }
 }
 
@@ -83,6 +85,15 @@
             /// The number of crashes so far; 0 clears the request.
             crashes: u32,
         },
+        /// The software versions that have served a model lately changed. Log them.
+        VersionsChanged {
+            /// The model.
+            target: Id,
+            /// The versions, sorted.
+            versions: Vec<Id>,
+            /// Whether this instance has to store them in the table service.
+            decided: bool,
+        },
         /// A part of prompts is blocked, or no longer. Log it.
         PartBlocked {
             /// The identifier of the part.
--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -11,6 +11,7 @@
 use crate::id::{Id, Millis};
 use crate::retry::Allowance;
 use crate::state::State;
+use crate::streams::Origin;
 use crate::suspect::SuspectStatus;
 
 /// How long to wait for a permit before one is requested from a further server as well, in
@@ -95,6 +96,14 @@
     pub(crate) fn add_request(&mut self, spec: RequestSpec) {
         let allowance = self.allowance();
         self.budget.record_arrival(spec.target, self.now, allowance);
+        match &spec.resumes {
+            Some(_) => self.find_origin(spec),
+            None => self.place_arrived(spec),
+        }
+    }
+
+    /// Looks for a server for a request that has not been on one.
+    pub(crate) fn place_arrived(&mut self, spec: RequestSpec) {
         self.place(spec, Vec::new(), 0, 0);
     }
 
@@ -333,12 +342,13 @@
         }
     }
 
-    fn refuse(&mut self, request: RequestId, refusal: Refusal, retry_ms: u32) {
+    pub(crate) fn refuse(&mut self, request: RequestId, refusal: Refusal, retry_ms: u32) {
         self.effects.push(Effect::Refuse { request, refusal, retry_ms });
     }
 
     /// Drops a request whose caller disconnected, also if its permit was granted at the same moment.
     pub(crate) fn abandon(&mut self, request: RequestId) {
+        self.streams.abandon(request);
         if let Some(pending) = self.entry.pending.remove(&request) {
             self.withdraw_all(&pending);
         }
@@ -358,7 +368,12 @@
     pub(crate) fn progressed(&mut self, request: RequestId, tokens: u32) {
         let Some(running) = self.entry.running.get_mut(&request) else { return };
         running.tokens = running.tokens.max(tokens);
-        running.spec.version.get_or_insert(running.version);
+        if running.spec.version.is_none() {
+            running.spec.version = Some(running.version);
+            let origin = Origin { target: running.spec.target, version: running.version };
+            let stream = running.spec.stream;
+            self.stream_began(stream, origin);
+        }
         self.check_survival(request);
         self.start_move(request);
         let Some(running) = self.entry.running.get_mut(&request) else { return };
--- a/agateroute_core/src/event.rs
+++ b/agateroute_core/src/event.rs
@@ -9,6 +9,7 @@
 use crate::id::{Id, Millis};
 use crate::ledger::TransactionOutcome;
 use crate::membership::{ListedInstance, Peer, PeerStatus};
+use crate::streams::Resumption;
 
 /// An identifier of a request, unique for one run of one instance.
 pub type RequestId = u64;
@@ -53,6 +54,11 @@
         /// The only software version that may serve the request, that of the server which began its stream; `None` before
         /// the first event.
         pub version: Option<Id>,
+        /// The hash of the request id of the caller's attempt that brought the first event of the stream; 0 if it can not be
+        /// resumed.
+        pub stream: Id,
+        /// How the caller resumes a stream; `None` if it begins one.
+        pub resumes: Option<Resumption>,
     }
 
     /// A load report of a backend server.
@@ -232,6 +238,16 @@
             /// How long it stays blocked, in milliseconds.
             left_ms: Millis,
         },
+        /// The software versions that have served each model lately were read from the table service.
+        VersionsLoaded {
+            /// The models with their versions.
+            stored: Vec<(Id, Vec<Id>)>,
+        },
+        /// The versions of a model could not be stored.
+        VersionsNotStored {
+            /// The model.
+            target: Id,
+        },
         /// The table service came back from a copy and may have lost rows that this instance wrote.
         TableRestored,
         /// A call that must run at most once needs its claim written or settled.
--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod server_list;
 pub mod sse;
 pub mod state;
+pub mod streams;
 pub mod suspect;
 pub mod table;
 pub mod tally;
--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -24,7 +24,9 @@
 use crate::prefix::Prefixes;
 use crate::rendezvous;
 use crate::retry::RetryBudget;
+use crate::streams::Streams;
 use crate::suspect::{SuspectStatus, Suspects};
+use crate::versions::VersionHistory;
 
 /// How long state is kept for a peer that is neither linked nor listed, in milliseconds.
 const PEER_RETENTION_MS: Millis = 30_000;
@@ -54,6 +56,10 @@
     pub suspects: Suspects,
     /// The parts of prompts that crash backend servers.
     pub parts: CrashingParts,
+    /// Where streams began that their callers may resume.
+    pub streams: Streams,
+    /// The software versions that have served each model lately.
+    pub versions: VersionHistory,
     /// The live migrations of generations and the queues for copy slots.
     pub migration: Migration,
     /// Load and recent faults of the backend servers, as far as this instance knows.
@@ -83,6 +89,8 @@
             estimator: Estimator::default(),
             suspects: Suspects::default(),
             parts: CrashingParts::default(),
+            streams: Streams::default(),
+            versions: VersionHistory::default(),
             migration: Migration::default(),
             health: HealthTable::default(),
             prefixes: Prefixes::default(),
@@ -144,12 +152,18 @@
                 self.update_suspect(fingerprint, crashes);
             }
             Event::PartBlockLoaded { part, left_ms } => self.block_part(part, left_ms, false),
-            Event::TableRestored => self.store_suspects_again(),
+            Event::VersionsLoaded { stored } => self.versions_loaded(&stored),
+            Event::VersionsNotStored { target } => self.store_versions_again(Some(target)),
+            Event::TableRestored => {
+                self.store_suspects_again();
+                self.store_versions_again(None);
+            }
             Event::ClaimSubmitted(claim) => self.submit_claim(claim),
             Event::Transacted { shard, outcome } => self.transacted(shard, outcome),
             Event::Leave => {
                 self.membership.start_leaving(self.now);
                 self.update_ownership();
+                self.hand_over_streams();
             }
             Event::Tick => self.tick(),
         }
@@ -174,6 +188,7 @@
         let former = std::mem::replace(&mut self.catalog, Arc::new(Catalog::new(document)));
         let catalog = self.catalog.clone();
         self.forget_changed_versions(&former);
+        self.observe_versions();
         if self.zones.len() > MAX_ZONES {
             self.zones.retain(|server, _| catalog.servers.contains(server));
         }
@@ -308,6 +323,9 @@
             Body::TurnAsk(ask) => self.receive_slot_request(peer, &ask),
             Body::Turn(turn) => self.slot_granted(peer, &turn),
             Body::TurnDone(done) => self.receive_slot_release(peer, &done),
+            Body::StreamOrigins(message) => self.receive_origins(&message),
+            Body::StreamAsk(ask) => self.receive_stream_ask(peer, &ask),
+            Body::StreamReply(reply) => self.receive_stream_reply(peer, &reply),
             Body::TallyRow(row) => self.effects.push(Effect::HoldTally(row)),
         }
     }
@@ -459,6 +477,8 @@
         }
         self.drop_silent_peers(silence_ms, silence_ms * PEER_LOST_FACTOR);
         self.tick_requests();
+        self.tick_streams();
+        self.tick_versions();
         self.block_culprit();
         self.tick_moves();
         self.tick_ledger();
--- a/agateroute_core/tests/simulation/mod.rs
+++ b/agateroute_core/tests/simulation/mod.rs
@@ -206,7 +206,7 @@
                 self.instances[at].claims.push((request, outcome));
                 let _ = writeln!(self.log, "{name}: claim {request} {outcome:?}");
             }
-            Effect::HoldTally(_) => {}
+            Effect::HoldTally(_) | Effect::VersionsChanged { .. } => {}
             Effect::StoreSuspect { fingerprint, crashes } => {
                 let _ = writeln!(self.log, "{name}: keep suspect {fingerprint} crashes {crashes}");
             }
@@ -304,6 +304,8 @@
             movable: false,
             parts: Arc::from([]),
             version: None,
+            stream: 0,
+            resumes: None,
         }
     }
 
--- a/agateroute_proto/src/peers.rs
+++ b/agateroute_proto/src/peers.rs
@@ -35,7 +35,7 @@
 pub struct Message {
     #[prost(
         oneof = "message::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: ::core::option::Option<message::Body>,
 }
@@ -83,6 +83,12 @@
         PartSurvived(super::PartSurvived),
         #[prost(message, tag = "20")]
         PartBlock(super::PartBlock),
+        #[prost(message, tag = "21")]
+        StreamOrigins(super::StreamOrigins),
+        #[prost(message, tag = "22")]
+        StreamAsk(super::StreamAsk),
+        #[prost(message, tag = "23")]
+        StreamReply(super::StreamReply),
     }
 }
 /// Requests a permit from the owner of a backend server to start a request there.
@@ -311,6 +317,44 @@
     #[prost(uint64, tag = "2")]
     pub left_ms: u64,
 }
+/// Where streams began that their callers may resume at another instance.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamOrigins {
+    #[prost(message, repeated, tag = "1")]
+    pub origins: ::prost::alloc::vec::Vec<StreamOrigin>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    /// The hash of the request id of the caller's attempt that brought the first event.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// The model whose server began the stream.
+    #[prost(fixed64, tag = "2")]
+    pub target: u64,
+    /// The hash of the version of that server's software, 0 if it is not certain.
+    #[prost(fixed64, tag = "3")]
+    pub version: u64,
+    /// How long the stream may still be resumed, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub left_ms: u32,
+}
+/// Asks where a stream began.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamAsk {
+    /// The request that waits for the reply.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(fixed64, tag = "2")]
+    pub stream: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamReply {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Absent if the sender does not know the stream.
+    #[prost(message, optional, tag = "2")]
+    pub origin: ::core::option::Option<StreamOrigin>,
+}
 /// A claim or a recorded response, sent to the instance that batches the writes of its shard.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Claim {
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -142,6 +142,8 @@
         movable: false,
         parts: Arc::from([]),
         version: None,
+        stream: 0,
+        resumes: None,
     }
 }
 
--- a/agaterouted/src/daemon.rs
+++ b/agaterouted/src/daemon.rs
@@ -404,6 +404,9 @@
             Effect::StoreSuspect { fingerprint, crashes } => {
                 let _ = self.jobs.send(Job::StoreSuspect { fingerprint, crashes });
             }
+            Effect::VersionsChanged { target, versions, decided } => {
+                let _ = self.jobs.send(Job::VersionsChanged { target, versions, decided });
+            }
             Effect::PartBlocked { part, left_ms, decided } => {
                 let _ = self.jobs.send(Job::PartBlocked { part, left_ms, decided });
             }
--- a/agaterouted/src/error.rs
+++ b/agaterouted/src/error.rs
@@ -84,6 +84,11 @@
             Refusal::Failed => {
                 (unavailable, "failed", "attempts failed and no retry is left in time")
             }
+            Refusal::StreamUnknown => (
+                unavailable,
+                "stream_unknown",
+                "it is not known which software version began this stream",
+            ),
             Refusal::Quarantined => (
                 StatusCode::UNPROCESSABLE_ENTITY,
                 "quarantined",
--- a/agaterouted/src/generation.rs
+++ b/agaterouted/src/generation.rs
@@ -430,5 +430,7 @@
         movable: false,
         parts: Arc::from([]),
         version: None,
+        stream: 0,
+        resumes: None,
     }
 }
--- a/agaterouted/src/jobs.rs
+++ b/agaterouted/src/jobs.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::unix_seconds;
 use crate::daemon::Daemon;
+use crate::versions;
 
 const SUSPECTS_PARTITION: &str = "suspects";
 /// Begins the sort key of the row of a blocked part. It sorts before the fingerprints of requests, which are hexadecimal
@@ -42,6 +43,15 @@
         /// The backend servers that crashed under the request so far.
         crashes: u32,
     },
+    /// Log the software versions that have served a model lately, and store them for instances that start later.
+    VersionsChanged {
+        /// The model.
+        target: Id,
+        /// The versions.
+        versions: Vec<Id>,
+        /// Whether this instance stores them.
+        decided: bool,
+    },
     /// Log that a part of prompts is blocked, and store it for instances that start later.
     PartBlocked {
         /// The identifier of the part.
@@ -83,6 +93,9 @@
         Job::StoreSuspect { fingerprint, crashes } => {
             store_suspect(&daemon, suspect_row(fingerprint, crashes)).await;
         }
+        Job::VersionsChanged { target, versions, decided } => {
+            versions::store(&daemon, target, &versions, decided).await;
+        }
         Job::PartBlocked { part, left_ms, decided } => {
             let name = format!("{part:x}");
             spdlog::warn!("prompt_part_blocked", kv: { part: = name.as_str(), left_ms, decided });
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -24,7 +24,7 @@
 use crate::upstream::Upstream;
 use crate::{
     declared, discovery, instances, jobs, log, peers, poll, restore, route_listener as listener,
-    supervisor,
+    supervisor, versions,
 };
 
 /// The time limit of a write to the table service or a short read from it.
@@ -195,6 +195,8 @@
     spawn_kept("ticks", cancel, move || poll::send_ticks(daemon.clone(), token.clone()));
     let (daemon, token) = (instance.daemon.clone(), cancel.child_token());
     tokio::spawn(jobs::read_suspects(daemon, token));
+    let (daemon, token) = (instance.daemon.clone(), cancel.child_token());
+    tokio::spawn(versions::read(daemon, token));
     spawn_loop("document", instance, cancel, declared::follow_document);
     spawn_loop("document_changes", instance, cancel, declared::follow_changes);
     spawn_loop("servers", instance, cancel, discovery::follow_servers);
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -6,15 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agateroute_adapter::caller::PromptPart;
 use agateroute_config::organisation::Organisation;
 use agateroute_config::route::{Route, RouteKind};
-use agateroute_core::catalog::{model_id, service_id};
 use agateroute_core::effect::Refusal;
 use agateroute_core::event::{End, RequestSpec, ServerSignal};
-use agateroute_core::id::{Id, id_of_bytes, mix};
-use agateroute_core::routes::pick_target;
-use agateroute_core::{id, leaving};
+use agateroute_core::id::Id;
+use agateroute_core::leaving;
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request, response,
@@ -29,6 +26,7 @@
 use crate::error::{ApiError, OUTCOME_HEADER, Outcome};
 use crate::front::check_header_limits;
 use crate::permit::Permit;
+use crate::request_spec::{build_spec, shared_parts};
 use crate::request_tracker::{FinalOutcome, LatencyTargets, RequestIdentity, Tracker};
 use crate::route_instance::RouteInstance;
 use crate::route_listener::{BoxBody, full_body};
@@ -51,8 +49,6 @@
 /// Unknown routes and keys are reported as missing only if the document was read within this time. An
 /// older document may lack a new one.
 const MAX_DOCUMENT_AGE_MS: u64 = 2_000;
-/// A stream has to start within the remaining time of its caller divided by this.
-const STREAM_WAIT_DIVISOR: u32 = 2;
 /// An attempt that can be retried times out after the target of its route times this. A smaller factor
 /// would repeat requests that are only slow.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
@@ -89,7 +85,7 @@
 
 impl RouteCall {
     /// The organisation for logs, metrics and fairness.
-    fn organisation_name(&self) -> &str {
+    pub fn organisation_name(&self) -> &str {
         self.organisation.as_deref().unwrap_or(PUBLIC_ORGANISATION)
     }
 }
@@ -361,52 +357,6 @@
     }
 }
 
-/// The identifier of a service in the reducer, where models and plain services have separate ones.
-fn target_id(config: &Config, service: &str) -> Id {
-    match config.document.model(service) {
-        Some(_) => model_id(service),
-        None => service_id(service),
-    }
-}
-
-/// Returns the parts of a prompt that other requests may share: all but the last.
-fn shared_parts(instance: &RouteInstance, headers: &HeaderMap) -> Vec<PromptPart> {
-    let mut parts = (instance.deployment.callers.decode)(headers).parts;
-    parts.pop();
-    parts
-}
-
-fn build_spec(instance: &RouteInstance, config: &Config, call: &RouteCall) -> RequestSpec {
-    let route = &call.route;
-    let request_info = (instance.deployment.callers.decode)(&call.headers);
-    let service = pick_target(route, rand::random()).unwrap_or_default();
-    let shared = shared_parts(instance, &call.headers);
-    let left = call.answer_by.saturating_duration_since(Instant::now());
-    let max_wait = if route.kind.streams() { left / STREAM_WAIT_DIVISOR } else { left };
-    let organisation = id(call.organisation_name());
-    let now = instance.daemon.now();
-    RequestSpec {
-        request: instance.daemon.next_request_id(),
-        organisation,
-        target: target_id(config, service),
-        kind: id(&route.name),
-        rank: call.rank,
-        prompt: request_info.size.map_or(0, |s| s.prompt_tokens),
-        max_tokens: request_info.size.map_or(0, |s| s.max_tokens),
-        prefix: shared.iter().fold(0, |hash, part| mix(hash, part.id)),
-        prefix_tokens: shared.iter().map(|p| p.tokens).sum(),
-        fingerprint: mix(mix(organisation, id(&call.path)), id_of_bytes(&call.body)),
-        deadline: now + max_wait.as_millis() as u64,
-        target_ms: route.target_ms.min(u64::from(u32::MAX)) as u32,
-        target_deadline: now + route.target_ms,
-        hint: request_info.length_hint.unwrap_or(0),
-        movable: route.kind.streams() && instance.source.capacity(route).is_some_and(|c| c.moves),
-        parts: call.parts.clone(),
-        version: None,
-        max_attempts: if route.kind.repeatable() { route.attempts } else { 1 },
-    }
-}
-
 /// The attempts made so far for a request that has no final answer yet.
 #[derive(Default)]
 struct Progress {
