--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -101,6 +101,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         state.update_ownership();
+        state.observe_versions();
         state
     }
 
--- a/agateroute_core/src/versions.rs
+++ b/agateroute_core/src/versions.rs
@@ -17,6 +17,9 @@
         version: Id,
         /// The number of listed servers.
         count: u32,
+        /// The most servers that were listed at once lately, and when they last were.
+        peak: u32,
+        peak_at: Millis,
         /// When a server of the version was last listed.
         listed_at: Millis,
     }
@@ -31,6 +34,21 @@
     }
 }
 
+impl TargetVersions {
+    fn new(now: Millis) -> TargetVersions {
+        TargetVersions { seen: Vec::new(), since: now, announced: Vec::new() }
+    }
+
+    fn seen_mut(&mut self, version: Id, now: Millis) -> &mut Seen {
+        let known = self.seen.iter().position(|s| s.version == version);
+        let at = known.unwrap_or_else(|| {
+            self.seen.push(Seen { version, count: 0, peak: 0, peak_at: now, listed_at: now });
+            self.seen.len() - 1
+        });
+        &mut self.seen[at]
+    }
+}
+
 /// The software versions that have served each model lately.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VersionHistory {
@@ -45,8 +63,7 @@
         if versions.is_empty() && !self.targets.contains(&target) {
             return;
         }
-        let create = || TargetVersions { seen: Vec::new(), since: now, announced: Vec::new() };
-        let entry = self.targets.entry(target, create);
+        let entry = self.targets.entry(target, || TargetVersions::new(now));
         for seen in &mut entry.seen {
             if seen.count > 0 {
                 seen.listed_at = now;
@@ -54,10 +71,11 @@
             seen.count = 0;
         }
         for version in versions {
-            match entry.seen.iter_mut().find(|s| s.version == *version) {
-                Some(seen) => (seen.count, seen.listed_at) = (seen.count + 1, now),
-                None => entry.seen.push(Seen { version: *version, count: 1, listed_at: now }),
-            }
+            let seen = entry.seen_mut(*version, now);
+            (seen.count, seen.listed_at) = (seen.count + 1, now);
+        }
+        for seen in entry.seen.iter_mut().filter(|s| s.count >= s.peak) {
+            (seen.peak, seen.peak_at) = (seen.count, now);
         }
     }
 
@@ -65,12 +83,9 @@
     fn load(&mut self, stored: &[(Id, Vec<Id>)], now: Millis) {
         self.stored_known = true;
         for (target, versions) in stored {
-            let create = || TargetVersions { seen: Vec::new(), since: now, announced: Vec::new() };
-            let entry = self.targets.entry(*target, create);
+            let entry = self.targets.entry(*target, || TargetVersions::new(now));
             for version in versions {
-                if !entry.seen.iter().any(|s| s.version == *version) {
-                    entry.seen.push(Seen { version: *version, count: 0, listed_at: now });
-                }
+                entry.seen_mut(*version, now);
             }
         }
     }
@@ -79,6 +94,9 @@
     fn expire(&mut self, now: Millis, window_ms: Millis) {
         for (_, entry) in self.targets.iter_mut() {
             entry.seen.retain(|s| s.count > 0 || s.listed_at + window_ms > now);
+            for seen in entry.seen.iter_mut().filter(|s| s.peak_at + window_ms <= now) {
+                (seen.peak, seen.peak_at) = (seen.count, now);
+            }
         }
     }
 
@@ -92,6 +110,16 @@
         (is_covered && recent.next().is_none()).then_some(only)
     }
 
+    /// Returns the share of a version's servers that have left lately, in thousandths, while other versions serve too.
+    pub fn shrinkage(&self, target: Id, version: Id) -> u32 {
+        let Some(entry) = self.targets.get(&target) else { return 0 };
+        if entry.seen.iter().filter(|s| s.count > 0).count() < 2 {
+            return 0;
+        }
+        let seen = entry.seen.iter().find(|s| s.version == version && s.peak > 0);
+        seen.map_or(0, |s| (s.peak - s.count.min(s.peak)) * 1_000 / s.peak)
+    }
+
     /// Returns the models whose versions differ from those that were last announced, with the current ones.
     fn take_changed(&mut self) -> Vec<(Id, Vec<Id>)> {
         let mut changed = Vec::new();
