Keep the places of a shrinking version for its own streams

A stream whose version has few servers left found no place, since new streams had taken it. Change: a server costs a new stream more in proportion to the servers that its version has lost lately; a request for a permit of a stream that goes on has the first rank, since it has fewer servers to choose from. Ruled out: to count versions by their size, which would keep new streams away from a release that begins.

--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -178,7 +178,8 @@
             organisation: spec.organisation,
             target: spec.target,
             kind: spec.kind,
-            rank: u32::from(spec.rank),
+            // A stream that goes on has fewer servers to choose from, and its caller has a part of it.
+            rank: if spec.version.is_some() { 0 } else { u32::from(spec.rank) },
             prompt: spec.prompt,
             most: spec.max_tokens,
             wait_ms: spec.deadline.saturating_sub(now) as u32,
--- a/agateroute_core/src/placement.rs
+++ b/agateroute_core/src/placement.rs
@@ -10,6 +10,9 @@
 /// The extra cost of a migration into another availability zone, in thousandths of a server's
 /// capacity: a copy between zones takes twice as long.
 const CROSS_ZONE_COST: u32 = 600;
+/// The extra cost of a new request on a server whose version has lost all its other servers, in thousandths of a
+/// server's capacity; in proportion for one that has lost a part of them.
+const SHRINKING_COST: u32 = 600;
 /// How far above the mean load the server with the cached prefix is still preferred, in thousandths.
 const MAX_PREFIX_EXCESS: u32 = 250;
 
@@ -51,21 +54,31 @@
         if alone {
             return rendezvous::owner(spec.target, usable.into_iter());
         }
-        let now = self.now;
-        let pressure = |s: Id| self.health.cost(s, now);
-        let mean = usable.iter().map(|s| pressure(*s)).sum::<u32>() / usable.len() as u32;
+        let loads: Vec<u32> = usable.iter().map(|s| self.cost_at(*s, spec)).collect();
+        let mean = loads.iter().sum::<u32>() / usable.len() as u32;
         let cached = self.prefixes.find(spec.prefix, self.now);
-        if let Some(server) = cached.filter(|s| usable.contains(s))
-            && pressure(server) <= mean + MAX_PREFIX_EXCESS
+        if let Some(at) = usable.iter().position(|s| Some(*s) == cached)
+            && loads[at] <= mean + MAX_PREFIX_EXCESS
         {
-            return Some(server);
+            return cached;
         }
-        let sampled: Vec<Id> =
-            (0..SAMPLE_SIZE).map(|_| self.pick_index(usable.len())).map(|at| usable[at]).collect();
+        let sampled: Vec<usize> = (0..SAMPLE_SIZE).map(|_| self.pick_index(usable.len())).collect();
         let zone = move_from.and_then(|from| self.zones.get(&from).copied());
         let remote = |s: Id| zone.is_some() && self.zones.get(&s).copied() != zone;
-        let cost =
-            |s: &Id| self.health.cost(*s, now) + if remote(*s) { CROSS_ZONE_COST } else { 0 };
-        sampled.into_iter().min_by_key(cost)
+        let cost = |at: &usize| loads[*at] + if remote(usable[*at]) { CROSS_ZONE_COST } else { 0 };
+        sampled.into_iter().min_by_key(cost).map(|at| usable[at])
+    }
+
+    /// The cost of a request at a server, in thousandths of its capacity. Any version may serve a new request, so one that
+    /// loses its servers keeps its places for the streams that it began.
+    fn cost_at(&self, server: Id, spec: &RequestSpec) -> u32 {
+        let load = self.health.cost(server, self.now);
+        match spec.version {
+            Some(_) => load,
+            None => {
+                let shrinkage = self.versions.shrinkage(spec.target, self.version_of(server));
+                load + shrinkage * SHRINKING_COST / 1_000
+            }
+        }
     }
 }
