Let the soak serve two software versions and callers that resume

Each new model server has the other version than the one before, and names it in each event. Callers take streams up again that broke off, up to three times, at instances that a load balancer offers.

--- a/agatestand/src/callers.rs
+++ b/agatestand/src/callers.rs
@@ -28,6 +28,9 @@
 const GIVE_UP_ONE_IN: u32 = 20;
 /// Maximum time until a caller gives up a request that it gives up at all.
 const MAX_GIVE_UP_MS: u64 = 400;
+/// Attempts of a caller to resume a stream, and the longest pause before each.
+const MAX_RESUMES: u32 = 3;
+const MAX_RESUME_PAUSE_MS: u64 = 600;
 /// Number of the newest keys, most of which are in force, that callers prefer.
 const RECENT_KEYS: usize = 3;
 /// Number of the newest keys from which callers pick; most of them are withdrawn.
@@ -112,6 +115,43 @@
         if !send_checked(&state, &client, &mut used, &id, request, time).await {
             closed.push(slot);
         }
+        resume(&state, &client, &mut rng, (&id, &key)).await;
+    }
+}
+
+/// Takes up a stream that broke off again, at instances that a load balancer offers, until it is complete or a few attempts
+/// have failed.
+async fn resume(
+    state: &SoakState,
+    client: &LoadClient,
+    rng: &mut ChaCha8Rng,
+    (id, key): (&str, &str),
+) {
+    let mut last = id.to_owned();
+    for number in 1..=MAX_RESUMES {
+        let Some(received) = state.checker().received(&last) else { return };
+        tokio::time::sleep(Duration::from_millis(rng.random_range(1..=MAX_RESUME_PAUSE_MS))).await;
+        let (ready, _) = open_slots(state, Duration::ZERO, &mut Vec::new());
+        if ready.is_empty() {
+            continue;
+        }
+        let slot = ready[rng.random_range(0..ready.len())];
+        last = format!("{id}-resume-{number}");
+        let mut sent = Sent::new(&last, Kind::Quote, key, &last, slot);
+        let events = received.length;
+        sent.events = events;
+        sent.resumes = Some(received.clone());
+        state.checker().record_request(sent);
+        let length = Length { events, max_tokens: MAX_OUTPUT_TOKENS, hint: 0 };
+        let address = &state.targets[slot].address;
+        let mut request = encode(address, Kind::Quote, &last, key, last.clone(), length);
+        let fields = request.headers_mut();
+        let mut set = |name: &'static str, value: &str| {
+            fields.insert(name, value.parse().expect("a value"));
+        };
+        set(standin::RESUMES_HEADER, &received.first);
+        set(standin::LAST_EVENT_HEADER, &received.events.to_string());
+        send_checked(state, client, &mut Vec::new(), &last, request, None).await;
     }
 }
 
--- a/agatestand/src/checker.rs
+++ b/agatestand/src/checker.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 
 use crate::instance::Answer;
+use crate::resumed::{self, Received, StreamCounts};
 
 /// Maximum time for which a withdrawn key may still be served, as in the instances' settings.
 pub const REVOKE_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -117,6 +118,10 @@
     servers: Vec<String>,
     /// When its answer broke off, if it did, and how much of it there was.
     cut: Option<(Instant, String)>,
+    /// What its caller had of the stream when it sent the request; `None` for a new one.
+    pub resumes: Option<Received>,
+    /// What its caller has of the stream since it broke off.
+    received: Option<Received>,
 }
 
 impl Sent {
@@ -135,6 +140,8 @@
             events: if kind.is_stream() { MAX_EVENTS } else { 0 },
             servers: Vec::new(),
             cut: None,
+            resumes: None,
+            received: None,
         }
     }
 }
@@ -187,9 +194,59 @@
     stops: Vec<(usize, Instant, Option<Instant>)>,
     /// Requests sent to stopping instances.
     pub stop_counts: StopCounts,
+    /// Streams that callers began and resumed.
+    pub stream_counts: StreamCounts,
+    /// Names of the model servers with the versions of their software.
+    servers: Vec<(String, String)>,
 }
 
 impl Checker {
+    /// Records a model server and the version of its software.
+    pub fn record_server(&mut self, name: &str, version: &str) {
+        self.servers.push((name.to_owned(), version.to_owned()));
+    }
+
+    /// Whether two servers of a version serve, and nothing is done to them.
+    fn has_two_servers(&self, version: &str) -> bool {
+        let now = Instant::now();
+        let serves = |name: &String| {
+            !self.leaving.iter().any(|(leaving, _)| leaving == name)
+                && self.free_between(&Part::Server(name.clone()), now, now)
+        };
+        self.servers.iter().filter(|(name, v)| v == version && serves(name)).count() >= 2
+    }
+
+    /// Returns what the caller of a stream that broke off has of it, if it may be resumed.
+    pub fn received(&self, id: &str) -> Option<Received> {
+        self.sent[self.find(id)?].received.clone()
+    }
+
+    /// Counts a stream that may be resumed, if nothing was done to its instance and the table service.
+    fn count_stream(&mut self, sent: &Sent, answer: &Answer) {
+        let touched = !self.slot_fault_free(sent.slot, sent.at)
+            || !self.fault_free(&Part::Store, sent.at)
+            || self.stop_before(sent.slot, sent.at, Instant::now()).is_some();
+        let few = sent.resumes.as_ref().is_some_and(|r| !self.has_two_servers(&r.version));
+        if sent.kind != Kind::Quote {
+            return;
+        }
+        let goes_on = answer.status.is_success() && (answer.complete || !answer.body.is_empty());
+        let resumed = sent.resumes.is_some();
+        let all = &mut self.stream_counts.all_resumed;
+        (all.0, all.1) = (all.0 + u64::from(resumed), all.1 + u64::from(resumed && goes_on));
+        if !touched && !few {
+            self.stream_counts.count(resumed, goes_on);
+        }
+    }
+
+    /// Checks that resumed streams went on, once all answers are known.
+    pub fn check_resumed(&mut self) {
+        if !self.skip_timing && self.stream_counts.too_few_resumed() {
+            let detail = format!("{:?}", self.stream_counts);
+            self.fail("resumed streams go on", &detail);
+        }
+    }
+
     /// Records the start of a fault.
     pub fn record_fault_start(&mut self, part: Part) {
         self.faults.push((part, Instant::now(), None));
@@ -381,8 +438,10 @@
             self.sent[at].cut = (!excused).then(|| (Instant::now(), detail));
         }
         let sent = self.sent[at].clone();
+        self.count_stream(&sent, answer);
         if answer.status.is_success() {
             self.check_success(&sent, answer);
+            self.sent[at].received = received(&sent, answer);
             return;
         }
         match answer.status {
@@ -416,11 +475,23 @@
         let event_ids = answer.event_ids();
         let text = String::from_utf8_lossy(&answer.body);
         let data = text.lines().filter_map(|l| l.strip_prefix("data: "));
-        let matches_own = data.zip(1..).all(|(d, n)| d == format!("event {n} of {id}"));
-        if !matches_own || event_ids.iter().zip(1..).any(|(number, n)| *number != n) {
+        let first = sent.resumes.as_ref().map_or(1, |r| r.events + 1);
+        let matches_own = data.zip(first..).all(|(d, n)| d == format!("event {n} of {id}"));
+        if !matches_own || event_ids.iter().zip(first..).any(|(number, n)| *number != n) {
             self.fail("streams in order", &format!("{id} got events {event_ids:?}"));
         }
-        if answer.complete && event_ids.len() as u64 != sent.events {
+        let before = sent.resumes.as_ref().map(|r| r.version.clone());
+        let mut versions: Vec<String> =
+            before.into_iter().chain(resumed::versions(answer)).collect();
+        versions.dedup();
+        if versions.len() > 1 {
+            let servers = &sent.servers;
+            self.fail(
+                "one version",
+                &format!("{id} has events of {versions:?}, ran at {servers:?}"),
+            );
+        }
+        if answer.complete && event_ids.len() as u64 + first - 1 != sent.events {
             let count = event_ids.len();
             self.fail("streams in order", &format!("{id} ended normally after {count} events"));
         }
@@ -506,3 +577,20 @@
         }
     }
 }
+
+/// Returns what the caller of a stream has of it, if it broke off and may be resumed.
+fn received(sent: &Sent, answer: &Answer) -> Option<Received> {
+    if answer.complete || sent.kind != Kind::Quote {
+        return None;
+    }
+    let (count, versions) = (answer.event_ids().len() as u64, resumed::versions(answer));
+    match &sent.resumes {
+        Some(before) => Some(Received { events: before.events + count, ..before.clone() }),
+        None => Some(Received {
+            first: sent.id.clone(),
+            events: count,
+            version: versions.into_iter().next()?,
+            length: sent.events,
+        }),
+    }
+}
--- a/agatestand/src/lib.rs
+++ b/agatestand/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod process;
 pub mod reply;
 pub mod results;
+pub mod resumed;
 pub mod serve;
 pub mod service;
 pub mod soak;
--- a/agatestand/src/soak.rs
+++ b/agatestand/src/soak.rs
@@ -19,6 +19,7 @@
 use crate::instance::Instance;
 use crate::load::client;
 use crate::planned::PlannedWork;
+use crate::resumed::StreamCounts;
 use crate::testbed::Testbed;
 
 /// Interval at which faults that are due to end, instances and runs are checked.
@@ -70,6 +71,8 @@
     pub requests: usize,
     /// Requests sent to stopping instances.
     pub stop_counts: StopCounts,
+    /// Streams that callers began and resumed.
+    pub stream_counts: StreamCounts,
     /// Log lines of all processes.
     pub logs: Vec<String>,
 }
@@ -98,6 +101,7 @@
     tasks.join_all().await;
     testbed.check_runs();
     testbed.shared.checker().check_cuts();
+    testbed.shared.checker().check_resumed();
     let logs = testbed.slots.iter().filter_map(|s| s.instance.as_ref()).flat_map(Instance::lines);
     let logs = testbed.logs.iter().cloned().chain(logs).collect();
     let checker = testbed.shared.checker();
@@ -107,6 +111,7 @@
         answers: checker.answers.clone(),
         requests: checker.request_count(),
         stop_counts: checker.stop_counts,
+        stream_counts: checker.stream_counts,
         logs,
     })
 }
--- a/agatestand/src/soaks.rs
+++ b/agatestand/src/soaks.rs
@@ -32,11 +32,12 @@
     failed_seeds: &mut Vec<u64>,
 ) -> Result<(), String> {
     let outcome = outcome.map_err(|e| format!("seed {seed}: {e}"))?;
-    let Outcome { violations, injected, mut answers, requests, stop_counts, logs: lines } = outcome;
+    let Outcome { violations, injected, mut answers, requests, logs: lines, .. } = outcome;
+    let (stop_counts, stream_counts) = (outcome.stop_counts, outcome.stream_counts);
     answers.sort_unstable();
     let count = violations.len();
     println!(
-        "seed={seed} requests={requests} broken={count} answers={answers:?} done={injected:?} {stop_counts:?}"
+        "seed={seed} requests={requests} broken={count} answers={answers:?} done={injected:?} {stop_counts:?} {stream_counts:?}"
     );
     for violation in &violations {
         println!("  {violation}");
--- a/agatestand/src/testbed.rs
+++ b/agatestand/src/testbed.rs
@@ -16,6 +16,8 @@
 
 /// Address at which nothing listens.
 pub const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+/// Versions of the software of model servers.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// API key that no version of the document withdraws.
 const PERMANENT_KEY: &str = "yew-key";
 
@@ -154,6 +156,12 @@
         }
         let target = front.as_ref().map_or(server.address, |f| f.address);
         let link = proxy(target, cancel).await?;
+        if events > 0 {
+            // Two versions serve at all times, with no order: each server has the other one than the server before.
+            let version = VERSIONS[self.servers as usize % VERSIONS.len()];
+            server.set_version(version);
+            self.shared.checker().record_server(&name, version);
+        }
         server.list_at(store, link.address);
         self.listed.push((link.address, name));
         Ok(Backend { server, link, front, _stop: stop.drop_guard() })
--- a/agatestand/tests/checker.rs
+++ b/agatestand/tests/checker.rs
@@ -7,6 +7,7 @@
 use agateroute_standin::server::Run;
 use agatestand::checker::{Checker, Key, Kind, MAX_EVENTS, Part, Sent};
 use agatestand::instance::Answer;
+use agatestand::resumed::Received;
 use http::{HeaderMap, StatusCode, header};
 
 /// Longer than every timeout of the checker.
@@ -353,3 +354,66 @@
     stopping.check_answer("a", &answer("a", StatusCode::NOT_FOUND, ""));
     assert_eq!(violated(&stopping), ["nothing denied"], "the instance itself answered");
 }
+
+/// A request for a stream of this length, which may resume one.
+fn quote(id: &str, events: u64, resumes: Option<Received>) -> Sent {
+    let mut sent = Sent::new(id, Kind::Quote, "good", "body", 0);
+    (sent.events, sent.resumes) = (events, resumes);
+    sent
+}
+
+/// The answer to a stream of which the first events were written by one version and the rest by another.
+fn two_versions(id: &str, first: &str, second: &str, complete: bool) -> Answer {
+    let event = |n: u64, by| format!("id: {n}\n: by {by}\ndata: event {n} of {id}\n\n");
+    let body = event(1, first) + &event(2, second);
+    Answer { complete, ..answer(id, StatusCode::OK, &body) }
+}
+
+#[test]
+fn versions_within_answer() {
+    let mut checker = checker();
+    for id in ["a", "b"] {
+        checker.record_request(quote(id, 2, None));
+    }
+    checker.check_answer("a", &two_versions("a", "v1", "v1", true));
+    assert_eq!(violated(&checker), [""; 0]);
+    checker.check_answer("b", &two_versions("b", "v1", "v2", true));
+    assert_eq!(violated(&checker), ["one version"]);
+}
+
+#[test]
+fn versions_over_attempts() {
+    let mut checker = checker();
+    checker.record_request(quote("a", 4, None));
+    checker.check_answer("a", &two_versions("a", "v1", "v1", false));
+    let received = checker.received("a").expect("a part of the stream");
+    assert_eq!((received.first.as_str(), received.events, received.length), ("a", 2, 4));
+    for (id, version, violations) in [("b", "v1", 0), ("c", "v2", 1)] {
+        checker.record_request(quote(id, 4, Some(received.clone())));
+        let events =
+            [3, 4].map(|n| format!("id: {n}\n: by {version}\ndata: event {n} of {id}\n\n"));
+        checker.check_answer(id, &answer(id, StatusCode::OK, &events.concat()));
+        assert_eq!(violated(&checker), vec!["one version"; violations], "{id}");
+    }
+}
+
+#[test]
+fn resumed_streams_refused() {
+    let mut checker = checker();
+    for name in ["s-1", "s-2"] {
+        checker.record_server(name, "v1");
+    }
+    let received =
+        Received { first: "first".to_owned(), events: 2, version: "v1".to_owned(), length: 4 };
+    for number in 0..12 {
+        let (new, again) = (format!("new-{number}"), format!("again-{number}"));
+        checker.record_request(quote(&new, 1, None));
+        checker.check_answer(&new, &answer(&new, StatusCode::OK, &stream(&new, 1..=1)));
+        checker.record_request(quote(&again, 4, Some(received.clone())));
+        let mut refusal = answer(&again, StatusCode::SERVICE_UNAVAILABLE, "");
+        refusal.headers.insert("retry-after", "1".parse().expect("a value"));
+        checker.check_answer(&again, &refusal);
+    }
+    checker.check_resumed();
+    assert_eq!(violated(&checker), ["resumed streams go on"]);
+}
