Tell peers that link up where streams began

Cause: the beginnings of streams were told once. A peer that was cut off then, or started later, never heard of those that it is a holder of. Change: on each new link an instance sends what the peer is a holder of. Evidence: core/tests/streams.rs told_after_link failed before and passes now; property, hand-over and versions.rs pass.

--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -219,6 +219,7 @@
             self.send(peer.id(), Body::Suspect(Suspect { fingerprint, crashes }));
         }
         self.send_part_blocks(id);
+        self.tell_linked(id);
     }
 
     /// Recomputes the owners after a change of membership or configuration: creates and drops admission
--- a/agateroute_core/src/streams.rs
+++ b/agateroute_core/src/streams.rs
@@ -133,6 +133,16 @@
 
     /// Hands all beginnings of streams to the holders that stay when this instance stops.
     pub(crate) fn hand_over_streams(&mut self) {
+        self.send_origins(|_| true);
+    }
+
+    /// Tells a peer that has just linked up the beginnings of which it is a holder: it may have started anew, or have been
+    /// cut off when they were told.
+    pub(crate) fn tell_linked(&mut self, peer: Id) {
+        self.send_origins(|holder| holder == peer);
+    }
+
+    fn send_origins(&mut self, to: impl Fn(Id) -> bool) {
         let now = self.now;
         let records: Vec<(Id, Record)> = self
             .streams
@@ -143,7 +153,7 @@
             .collect();
         let mut batches: Table<Id, Vec<StreamOrigin>> = Table::default();
         for (stream, record) in records {
-            for peer in self.holders(stream, HOLDERS) {
+            for peer in self.holders(stream, HOLDERS).into_iter().filter(|peer| to(*peer)) {
                 let batch = batches.entry(peer, Vec::new);
                 batch.push(encode(stream, record.origin, record.until - now));
             }
--- a/agateroute_core/tests/streams.rs
+++ b/agateroute_core/tests/streams.rs
@@ -259,6 +259,36 @@
     }
 }
 
+/// Guards against losing the beginnings of streams that peers could not be told of, because links were cut or they had
+/// just started.
+#[test]
+fn told_after_link() {
+    let mut fleet = Fleet::new(true);
+    fleet.sim.cut(0, 1);
+    fleet.sim.cut(0, 2);
+    let mut begun = Vec::new();
+    for _ in 0..10 {
+        let stream = fleet.begin(0);
+        fleet.sim.advance(100);
+        fleet.progress(0, stream);
+        fleet.sim.abandon(0, stream);
+        begun.push(stream);
+    }
+    fleet.sim.heal(0, 1);
+    fleet.sim.advance(100);
+    fleet.sim.kill(2);
+    fleet.sim.replace(2);
+    fleet.load(2);
+    fleet.sim.kill(0);
+    fleet.sim.kill(1);
+    for stream in begun {
+        let request = fleet.take_up(2, stream);
+        fleet.sim.advance(100);
+        assert!(fleet.sim.instances[2].running.contains(&request), "stream {stream}");
+        fleet.sim.abandon(2, request);
+    }
+}
+
 /// Guards against a request that waits for replies that never come.
 #[test]
 fn unknown_stream_refused() {
