--- a/agateroute_core/src/entry.rs
+++ b/agateroute_core/src/entry.rs
@@ -444,20 +444,9 @@
         self.send(running.owner, Body::Release(release));
     }
 
-    /// Whether the server of a stream that has begun is usable and no other one of its version is.
-    fn is_last_of_version(&self, running: &Running) -> bool {
-        let (spec, usable) = (&running.spec, |s: &Id| self.health.usable(*s, self.now));
-        let servers = self.catalog.targets.get(&spec.target).into_iter().flatten();
-        let mut of_version = servers.filter(|s| usable(s) && self.may_serve(**s, spec.version));
-        spec.version.is_some()
-            && of_version.next() == Some(&running.server)
-            && of_version.next().is_none()
-    }
-
     /// Retries a request on another server if `retry`, the deadline and the number of attempts allow it.
     /// An attempt that `reached` its server also needs retry budget.
     fn retry_elsewhere(&mut self, running: Running, retry: bool, reached: bool) {
-        let again = reached && self.is_last_of_version(&running);
         let request = running.spec.request;
         let attempts = running.attempts + 1;
         let in_time = self.now < running.spec.deadline;
@@ -469,9 +458,7 @@
             return;
         }
         let mut tried = running.tried;
-        if !again {
-            tried.push(running.server);
-        }
+        tried.push(running.server);
         self.place(running.spec, tried, attempts, running.started_on);
     }
 
