Wait for the first peer before a resumed stream counts as unknown

Change: an instance that knows of others but is linked to none waits up to 500 ms; a peer that links up is asked about all streams whose beginning is looked for.

--- a/agateroute_core/src/state.rs
+++ b/agateroute_core/src/state.rs
@@ -220,6 +220,7 @@
         }
         self.send_part_blocks(id);
         self.tell_linked(id);
+        self.ask_linked(id);
     }
 
     /// Recomputes the owners after a change of membership or configuration: creates and drops admission
--- a/agateroute_core/src/streams.rs
+++ b/agateroute_core/src/streams.rs
@@ -23,6 +23,8 @@
 const ASKED: usize = HOLDERS + 1;
 /// How long to wait for replies, in milliseconds: several round trips between regions.
 const REPLY_TIMEOUT_MS: Millis = 250;
+/// How long to wait for a first peer to link up, in milliseconds: instances dial each other within it after a start.
+const LINK_WAIT_MS: Millis = 500;
 /// The delay after which a caller may try to resume a stream again whose beginning is not known, in milliseconds.
 const UNKNOWN_RETRY_MS: u32 = 1_000;
 /// The most streams that are remembered; beyond, the one that expires first is forgotten.
@@ -182,18 +184,38 @@
         if let Some(origin) = self.only_origin(&spec) {
             return self.resume_at(spec, origin);
         }
-        let asked = if spec.stream == 0 { Vec::new() } else { self.holders(spec.stream, ASKED) };
-        if asked.is_empty() {
+        let asked = self.holders(spec.stream, ASKED);
+        // An instance that has just started is listed before its peers are linked.
+        let wait_ms = match asked.is_empty() {
+            true if self.membership.known_count() > 1 => LINK_WAIT_MS,
+            true => 0,
+            false => REPLY_TIMEOUT_MS,
+        };
+        if spec.stream == 0 || wait_ms == 0 {
             return self.refuse_unknown(spec.request);
         }
         let ask = StreamAsk { request: spec.request, stream: spec.stream };
         for peer in &asked {
             self.send(*peer, Body::StreamAsk(ask));
         }
-        let until = self.now + REPLY_TIMEOUT_MS;
+        let until = self.now + wait_ms;
         self.streams.lookups.insert(spec.request, Lookup { spec, asked, until });
     }
 
+    /// Asks a peer that has just linked up about all streams whose beginning is looked for.
+    pub(crate) fn ask_linked(&mut self, peer: Id) {
+        let mut asks = Vec::new();
+        for (request, lookup) in self.streams.lookups.iter_mut() {
+            if !lookup.asked.contains(&peer) {
+                lookup.asked.push(peer);
+                asks.push(StreamAsk { request: *request, stream: lookup.spec.stream });
+            }
+        }
+        for ask in asks {
+            self.send(peer, Body::StreamAsk(ask));
+        }
+    }
+
     /// The only possible beginning of a stream, if one version alone has served all targets of its route for as long
     /// as the stream can have lasted.
     fn only_origin(&self, spec: &RequestSpec) -> Option<Origin> {
--- a/agateroute_core/tests/streams.rs
+++ b/agateroute_core/tests/streams.rs
@@ -8,6 +8,7 @@
 
 use agateroute_core::catalog::model_id;
 use agateroute_core::event::{End, RequestId, RequestSpec, ServerSignal};
+use agateroute_core::membership::ListedInstance;
 use agateroute_core::placement::UNKNOWN_VERSION;
 use agateroute_core::streams::{Origin, Resumption, Streams};
 use agateroute_core::{Event, Id, Table, id};
@@ -38,8 +39,8 @@
     sim: Simulation,
     /// The stream of each request.
     streams: Table<RequestId, Id>,
-    /// The version that wrote the first event of each stream.
-    began: Table<Id, String>,
+    /// When each stream began, and the version that wrote its first event.
+    began: Table<Id, (u64, String)>,
     next_id: u64,
     /// Whether the instances hear of the versions that they find stored.
     stored: bool,
@@ -107,8 +108,9 @@
         let listed = self.sim.document.servers.iter().find(|s| id(&s.name) == server);
         let Some(version) = listed.map(|s| s.version.clone()) else { return };
         let stream = *self.streams.get(&request).expect("a stream");
-        let first = self.began.entry(stream, || version.clone()).clone();
-        assert_eq!(first, version, "stream {stream} has events of two versions");
+        let now = self.sim.now;
+        let (began_at, first) = self.began.entry(stream, || (now, version.clone())).clone();
+        assert_eq!(first, version, "stream {stream} of {began_at} ms at {now} ms");
         self.sim.apply(at, Event::Progressed { request, tokens: 4 });
     }
 
@@ -289,6 +291,30 @@
     }
 }
 
+/// Guards against refusing a stream because the instance has just started and its peers are not linked yet.
+#[test]
+fn asked_after_link() {
+    let mut fleet = Fleet::new(true);
+    let stream = fleet.begin(0);
+    fleet.sim.advance(25);
+    fleet.progress(0, stream);
+    fleet.sim.abandon(0, stream);
+    for (a, b) in [(0, 1), (0, 2)] {
+        fleet.sim.cut(a, b);
+    }
+    fleet.sim.kill(0);
+    fleet.sim.replace(0);
+    fleet.load(0);
+    let names = fleet.sim.instances[1..].iter().map(|i| i.name.clone());
+    let instances = names.map(|name| ListedInstance { name, leaving: false }).collect();
+    fleet.sim.apply(0, Event::Listed { instances });
+    let request = fleet.take_up(0, stream);
+    fleet.sim.advance(100);
+    fleet.sim.heal(0, 1);
+    fleet.sim.advance(50);
+    assert!(fleet.sim.instances[0].running.contains(&request));
+}
+
 /// Guards against a request that waits for replies that never come.
 #[test]
 fn unknown_stream_refused() {
