Excuse answers that break off at a server which answers for another request

The generation may run at that server and can go on nowhere else. The soak excused such a cut for servers that refuse, close or cut, but not for this one.

--- a/agatestand/src/fault_plan.rs
+++ b/agatestand/src/fault_plan.rs
@@ -354,8 +354,9 @@
         self.count_fault("server misbehaves");
         let server = &testbed.backends[backend].server;
         let kind = rng.random_range(0..7);
-        // A server that refuses does not go on with a generation that it stopped, either.
-        if matches!(kind, 0 | 1 | 5 | 6) {
+        // A server that refuses does not go on with a generation that it stopped, either, and one that answers for another
+        // request takes a generation that moves to it.
+        if matches!(kind, 0..=2 | 5 | 6) {
             testbed.shared.checker().record_fault_start(Part::Server(server.name.clone()));
         }
         match kind {
