--- a/agaterouted/src/versions.rs
+++ b/agaterouted/src/versions.rs
@@ -1,11 +1,11 @@
 //! The rows in the table service with the software versions that have served each model lately. Instances that start
 //! after all others have stopped learn from them which version can have begun a stream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use agateroute_core::{Event, Id};
 use agateroute_storage::table::{Condition, Row, Write};
-use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
 use crate::daemon::Daemon;
