--- a/review/standin/cut_answer.rs
+++ b/review/standin/cut_answer.rs
@@ -46,7 +46,7 @@
             let may_crash = since.is_some_and(|s| s > CRASH_FROM);
             if line.starts_with("half") && may_crash && !killing.swap(true, Ordering::AcqRel) {
                 std::thread::sleep(CRASH_DELAY);
-                let mut servers = servers_.lock().expect("servers");
+                let mut servers = servers_.lock().expect("the servers");
                 // Dropping the process kills it.
                 servers.processes[number as usize] = None;
                 servers.crashed = Some((own.clone(), Instant::now()));
@@ -55,13 +55,13 @@
         };
         let offset = (number * 3).to_string();
         let process = Process::start(&["plain", &name, &address, &offset], on_line);
-        let mut servers = servers.lock().expect("servers");
+        let mut servers = servers.lock().expect("the servers");
         servers.processes.push(Some(process));
         servers.entries.push((name, address, world::unix_ms()));
     }
     std::thread::sleep(Duration::from_millis(300));
     let heartbeat = |store: &Store, sequence: u64| {
-        let servers = servers.lock().expect("servers");
+        let servers = servers.lock().expect("the servers");
         for (name, address, born) in &servers.entries {
             let crashed = servers.crashed.as_ref().filter(|(n, _)| n == name);
             if let Some((_, at)) = crashed {
@@ -143,8 +143,8 @@
     for (kind, count) in counts.lock().expect("counts").iter() {
         record.line(&format!("answers: {count} {kind}"));
     }
-    let crashed = servers.lock().expect("servers").crashed.is_some();
-    servers.lock().expect("servers").processes.clear();
+    let crashed = servers.lock().expect("the servers").crashed.is_some();
+    servers.lock().expect("the servers").processes.clear();
     drop(instances);
     if trouble && !crashed {
         world::give_up("no server sent an answer without a length");
