--- a/review/standin/cut_answer.rs
+++ b/review/standin/cut_answer.rs
@@ -54,7 +54,7 @@
             }
         };
         let offset = (number * 3).to_string();
-        let process = Process::start(&["plain", &name, &address, &offset], on_line);
+        let process = Process::start(&["plain", &name, &address, &offset, "never"], on_line);
         let mut servers = servers.lock().expect("the servers");
         servers.processes.push(Some(process));
         servers.entries.push((name, address, world::unix_ms()));
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -264,6 +264,12 @@
     }
 }
 
+impl Process {
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
