Log each connection of a caller that ends before its answer is written whole

Change: caller_connection_cut, one line for each connection that ends between the head of a request and the last byte of its answer, from whichever task drops it, with the id, the state, the cause and the time since the order to stop. No decision changed.

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, Version};
+use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -73,8 +73,10 @@
 enum ConnectionState {
     /// It waits for a request, whose head began to arrive at this time, if it did.
     Idle(Option<Instant>),
-    /// A request runs.
+    /// A request is read, waits or runs.
     Busy,
+    /// Its answer has begun.
+    Answering,
     /// The whole answer is in this process, and a part of it is not written yet.
     Sending,
 }
@@ -87,6 +89,20 @@
     state: Mutex<(ConnectionState, Instant)>,
     /// Whether an answer is under way whose end only the end of this connection marks.
     ends_answer: AtomicBool,
+    /// The id of the last request, and why the connection ended, for the log.
+    last: Mutex<(Option<HeaderValue>, Option<String>)>,
+}
+
+impl ConnectionState {
+    /// The value in logs.
+    fn as_str(self) -> &'static str {
+        match self {
+            ConnectionState::Idle(_) => "idle",
+            ConnectionState::Busy => "busy",
+            ConnectionState::Answering => "answering",
+            ConnectionState::Sending => "sending",
+        }
+    }
 }
 
 impl ConnectionActivity {
@@ -95,14 +111,24 @@
             instance,
             state: Mutex::new((ConnectionState::Idle(None), Instant::now())),
             ends_answer: AtomicBool::new(false),
+            last: Mutex::default(),
         }
     }
 
+    fn last(&self) -> MutexGuard<'_, (Option<HeaderValue>, Option<String>)> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn ended(&self, cause: impl ToString) {
+        self.last().1 = Some(cause.to_string());
+    }
+
     fn lock(&self) -> MutexGuard<'_, (ConnectionState, Instant)> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn request_started(&self) {
+    fn request_started(&self, id: Option<&HeaderValue>) {
+        self.last().0 = id.cloned();
         let mut state = self.lock();
         if matches!(state.0, ConnectionState::Idle(_)) {
             self.instance.unsent_answers.fetch_add(1, Ordering::AcqRel);
@@ -110,6 +136,10 @@
         state.0 = ConnectionState::Busy;
     }
 
+    fn answer_began(&self) {
+        self.lock().0 = ConnectionState::Answering;
+    }
+
     fn request_ended(&self) {
         *self.lock() = (ConnectionState::Sending, Instant::now());
     }
@@ -138,7 +168,7 @@
     fn timed_out(&self, head_timeout: Duration, idle_timeout: Duration) -> bool {
         let (state, last_used) = *self.lock();
         match state {
-            ConnectionState::Busy => false,
+            ConnectionState::Busy | ConnectionState::Answering => false,
             ConnectionState::Idle(Some(at)) => at.elapsed() > head_timeout,
             ConnectionState::Idle(None) | ConnectionState::Sending => {
                 last_used.elapsed() > idle_timeout
@@ -149,9 +179,19 @@
 
 impl Drop for ConnectionActivity {
     fn drop(&mut self) {
-        if !matches!(self.lock().0, ConnectionState::Idle(_)) {
-            self.instance.unsent_answers.fetch_sub(1, Ordering::AcqRel);
+        let state = self.lock().0;
+        if matches!(state, ConnectionState::Idle(_)) {
+            return;
         }
+        self.instance.unsent_answers.fetch_sub(1, Ordering::AcqRel);
+        let last = self.last();
+        spdlog::info!("caller_connection_cut", kv: {
+            request: = last.0.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-"),
+            state = state.as_str(),
+            // Without a cause, the task of the connection ended with the process.
+            cause: = last.1.as_deref().unwrap_or("instance_ends"),
+            stopping_ms = self.instance.stopping_ms(),
+        });
     }
 }
 
@@ -183,14 +223,19 @@
                 served.as_mut().graceful_shutdown();
             }
             ended = served.as_mut() => {
-                if let Err(error) = ended {
-                    spdlog::debug!("caller_connection_ended", kv: { error: });
+                match ended {
+                    Ok(()) => activity.ended("closed"),
+                    Err(error) => {
+                        spdlog::debug!("caller_connection_ended", kv: { error: });
+                        activity.ended(error);
+                    }
                 }
                 return;
             }
             () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {
                 let limits = &instance.daemon.config().document.limits;
                 if activity.timed_out(millis(limits.head_ms), millis(limits.idle_ms)) {
+                    activity.ended("timeout");
                     return;
                 }
             }
@@ -203,13 +248,14 @@
     activity: Arc<ConnectionActivity>,
     request: Request<Incoming>,
 ) -> Result<Response<TrackedBody>, Infallible> {
-    activity.request_started();
+    activity.request_started(request.headers().get(instance.deployment.callers.id_header));
     instance.busy_requests.fetch_add(1, Ordering::AcqRel);
     let has_chunks = request.version() > Version::HTTP_10;
     let guard = BusyGuard { instance: instance.clone(), activity };
     let response = serve::handle(instance, request).await;
     let ends_answer = !has_chunks && response.body().size_hint().exact().is_none();
     guard.activity.ends_answer.store(ends_answer, Ordering::Release);
+    guard.activity.answer_began();
     Ok(response.map(|body| TrackedBody { body, guard }))
 }
 
