Accept after the order to stop only what is due before the end

Callers saw streams that ended without a whole answer, and answers of 504 for calls that may have run, around planned stops. Cause: a decision that can't be taken back was made on an estimate: 1.5 s to the first token and 12 ms a token, or 0.7 s for a call. A server that takes longer, within the deadline, still has the request when the process ends. The request was also checked at its head only, so one whose body came after the signal was not checked at all, and a body that still arrived got no answer. The class: the end of the process is a bound on work, and something else was compared with it. Change: a request is accepted only if the earlier of its deadline and its route's timeout is before the end, on arrival, while its body arrives and while it waits. The estimate stays as a second condition. The last checks of a stream (server gone at its end, crash after a cut) see the end of the instance, so each has its line. Ruled out: handing the request to a peer, as the connection of the caller ends with this process (docs/DESIGN.md). The core tests of the estimate keep all their assertions.

--- a/agateroute_core/src/leaving.rs
+++ b/agateroute_core/src/leaving.rs
@@ -19,27 +19,35 @@
 /// The longest time of a plain call, in milliseconds.
 const MAX_CALL_MS: u64 = 700;
 
-/// Returns whether a request can be answered completely within `left_ms`, `stopping_ms` after the order to stop.
-/// `max_tokens` limits the output and `hint` is the caller's estimate of its length in tokens, 0 if there is none.
+/// Returns whether a stopping instance accepts a request that arrives `stopping_ms` after the order to stop; see
+/// [`latest_start_ms`].
 pub fn can_finish(
-    left_ms: Millis,
+    (serving_ms, due_ms): (Millis, Millis),
     stopping_ms: Millis,
     kind: RouteKind,
     max_tokens: u32,
     hint: u32,
 ) -> bool {
-    latest_start_ms(stopping_ms + left_ms, kind, max_tokens, hint)
+    latest_start_ms((serving_ms, due_ms), kind, max_tokens, hint)
         .is_some_and(|latest| stopping_ms <= latest)
 }
 
-/// Returns the latest time after the order to stop at which a request may start, so that its answer is complete
-/// within `serving_ms` after that order; `None` if it would take longer. The times are in milliseconds.
+/// Returns the latest time after the order to stop at which a request may start; `None` if it may not start at all.
+///
+/// Its answer is due by `due_ms`, its caller's deadline or the timeout of its route, and the instance serves until
+/// `serving_ms`. A request that is due later is never accepted: no estimate of its length bounds what a server takes. Of
+/// the others, those are accepted that are likely to be answered in time. All times are in milliseconds after the
+/// order to stop. `max_tokens` limits the output and `hint` is the caller's estimate of its length in tokens, 0 if there
+/// is none.
 pub fn latest_start_ms(
-    serving_ms: Millis,
+    (serving_ms, due_ms): (Millis, Millis),
     kind: RouteKind,
     max_tokens: u32,
     hint: u32,
 ) -> Option<Millis> {
+    if due_ms > serving_ms {
+        return None;
+    }
     if !kind.streams() {
         return serving_ms.checked_sub(MAX_CALL_MS);
     }
--- a/agateroute_core/tests/stopping.rs
+++ b/agateroute_core/tests/stopping.rs
@@ -2,7 +2,43 @@
 //! exits.
 
 use agateroute_config::route::RouteKind;
-use agateroute_core::leaving::{can_finish, latest_start_ms};
+use agateroute_core::leaving;
+
+const KINDS: [RouteKind; 4] =
+    [RouteKind::Once, RouteKind::Repeatable, RouteKind::Stream, RouteKind::ResumableStream];
+
+/// Whether a request is accepted whose answer is due when the instance ends.
+fn can_finish(left_ms: u64, stopping_ms: u64, kind: RouteKind, most: u32, hint: u32) -> bool {
+    let serving_ms = stopping_ms + left_ms;
+    leaving::can_finish((serving_ms, serving_ms), stopping_ms, kind, most, hint)
+}
+
+fn latest_start_ms(serving_ms: u64, kind: RouteKind, most: u32, hint: u32) -> Option<u64> {
+    leaving::latest_start_ms((serving_ms, serving_ms), kind, most, hint)
+}
+
+// Guards against requests that are accepted on an estimate and whose server takes longer, up to the deadline.
+#[test]
+fn never_due_after_the_end() {
+    type Input = ((u32, u32), u32, usize, (u32, u32));
+    bolero::check!().with_type::<Input>().for_each(
+        |((serving, due), stopping, kind, (most, hint))| {
+            let (serving, due) = (u64::from(*serving), u64::from(*due));
+            let (kind, stopping) = (KINDS[kind % KINDS.len()], u64::from(*stopping));
+            if leaving::can_finish((serving, due), stopping, kind, *most, *hint) {
+                assert!(due <= serving && stopping <= serving);
+            }
+        },
+    );
+}
+
+#[test]
+fn due_before_the_end() {
+    assert!(leaving::can_finish((7_400, 7_000), 1_000, RouteKind::ResumableStream, 40, 12));
+    assert!(!leaving::can_finish((7_400, 7_401), 1_000, RouteKind::ResumableStream, 40, 12));
+    assert!(leaving::can_finish((7_400, 7_400), 5_400, RouteKind::Once, 0, 0));
+    assert!(!leaving::can_finish((7_400, 8_400), 5_400, RouteKind::Once, 0, 0));
+}
 
 #[test]
 fn short_calls() {
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod serve;
 pub mod snapshot;
 pub mod source;
+pub mod stopping;
 pub mod stream;
 pub mod stream_relay;
 pub mod supervisor;
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -88,14 +88,28 @@
         self.stop_times.get().map_or(0, |(since, _)| since.elapsed().as_millis() as Millis)
     }
 
-    /// Waits for the order to stop, and then for the latest start that `latest` returns for the time that this instance
-    /// serves from that order on. Times are in milliseconds; `None` is over at once.
-    pub async fn latest_start(&self, latest: impl FnOnce(Millis) -> Option<Millis>) {
+    /// Returns until when this instance serves and when an answer is due, in milliseconds after the order to stop; `None`
+    /// before it.
+    pub fn stop_bounds(&self, answer_by: Instant) -> Option<(Millis, Millis)> {
+        let (since, until) = self.stop_times.get()?;
+        let after = |at: Instant| at.saturating_duration_since(*since).as_millis() as Millis;
+        Some((after(*until), after(answer_by)))
+    }
+
+    /// Waits for the order to stop, and then for the latest start that `latest` returns for the bounds of
+    /// [`RouteInstance::stop_bounds`], but not after connections are being closed. `None` is over at once.
+    pub async fn latest_start(
+        &self,
+        answer_by: Instant,
+        latest: impl FnOnce((Millis, Millis)) -> Option<Millis>,
+    ) {
         self.stopping.cancelled().await;
-        let Some((since, until)) = self.stop_times.get() else { return };
-        let serving = until.saturating_duration_since(*since);
-        if let Some(at) = latest(serving.as_millis() as Millis) {
-            tokio::time::sleep_until((*since + millis(at)).into()).await;
+        let Some((since, _)) = self.stop_times.get() else { return };
+        if let Some(at) = self.stop_bounds(answer_by).and_then(latest) {
+            tokio::select! {
+                () = self.giving_up.cancelled() => {}
+                () = tokio::time::sleep_until((*since + millis(at)).into()) => {}
+            }
         }
     }
 
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -11,7 +11,6 @@
 use agateroute_core::effect::Refusal;
 use agateroute_core::event::{End, ForwardEnd, RequestSpec, ServerSignal, Via};
 use agateroute_core::id::Id;
-use agateroute_core::leaving;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -30,6 +29,7 @@
 use crate::request_tracker::{FinalOutcome, LatencyTargets, RequestIdentity, Tracker};
 use crate::route_instance::RouteInstance;
 use crate::route_listener::BoxBody;
+use crate::stopping::{refuse_unfinishable, refused_at_stop, stopping, wait_over};
 use crate::stream_relay::{self, StreamRequest};
 use crate::telemetry::extract;
 
@@ -41,11 +41,6 @@
 const RETRY_MS: u32 = 1_000;
 /// The retry delay suggested to callers while there is no document or it can not be read.
 const UNREADY_RETRY_MS: u32 = 500;
-/// The retry delay suggested while only this instance stops, since the retry reaches another one.
-const STOPPING_RETRY_MS: u32 = 50;
-/// How long a restart takes until the instance is ready: its startup, a read of the document and two
-/// readiness checks of the load balancer.
-const RESTART_MS: u64 = 2_000;
 /// Unknown routes and keys are reported as missing only if the document was read within this time. An
 /// older document may lack a new one.
 const MAX_DOCUMENT_AGE_MS: u64 = 2_000;
@@ -128,7 +123,7 @@
         if hop.version > config.version {
             return Err(not_ready("the document here is older than that of the peer"));
         }
-        let (route, organisation) = check(instance, &config, &head, &id)?;
+        let (route, organisation) = check(instance, &config, (&head, &id), arrived)?;
         let origin = (arrived, Via::Peer, hop.begun);
         serve_read(instance, &config, (head, body, id.clone()), (route, organisation), origin).await
     };
@@ -150,8 +145,16 @@
     arrived: Instant,
 ) -> Result<Response<BoxBody>, ApiError> {
     let config = instance.daemon.config();
-    let (route, organisation) = check(instance, &config, &head, id)?;
-    let body = read_body(body, &config, millis(route.timeout_ms)).await?;
+    let (route, organisation) = check(instance, &config, (&head, id), arrived)?;
+    let read = read_body(body, &config, millis(route.timeout_ms));
+    // The order to stop may come while the body arrives.
+    let body = tokio::select! {
+        biased;
+        () = refused_at_stop(instance, (&route, &head.headers, id), arrived) => {
+            return Err(stopping(instance));
+        }
+        body = read => body?,
+    };
     let origin = (arrived, Via::Route, 0);
     let received = (head, body, id.clone());
     serve_read(instance, &config, received, (route, organisation), origin).await
@@ -161,8 +164,8 @@
 fn check<'a>(
     instance: &RouteInstance,
     config: &'a Config,
-    head: &request::Parts,
-    id: &str,
+    (head, id): (&request::Parts, &str),
+    arrived: Instant,
 ) -> Result<(Route, Option<&'a Organisation>), ApiError> {
     if !instance.daemon.configured() {
         return Err(not_ready("no document was loaded yet"));
@@ -170,7 +173,7 @@
     check_header_limits(&config.document.limits, &head.headers)?;
     let route = find_route(instance, config, &host_of(head), head.uri.path())?.clone();
     let organisation = authorize(instance, config, &route, &head.headers)?;
-    refuse_unfinishable(instance, &route, &head.headers, id)?;
+    refuse_unfinishable(instance, (&route, &head.headers, id), arrived)?;
     Ok((route, organisation))
 }
 
@@ -207,7 +210,7 @@
 }
 
 /// Returns when the caller stops waiting, and when its final answer must be sent.
-fn deadlines(
+pub fn deadlines(
     instance: &RouteInstance,
     route: &Route,
     headers: &HeaderMap,
@@ -293,79 +296,6 @@
     found.map(Some).ok_or_else(missing)
 }
 
-/// Refuses requests that would not finish before this instance stops, so that another one can serve them.
-fn refuse_unfinishable(
-    instance: &RouteInstance,
-    route: &Route,
-    headers: &HeaderMap,
-    id: &str,
-) -> Result<(), ApiError> {
-    let Some(left) = instance.time_to_stop() else { return Ok(()) };
-    let (max_output, hint) = output_bounds(instance, headers);
-    let (left_ms, stopping_ms) = (left.as_millis() as u64, instance.stopping_ms());
-    let accepted = leaving::can_finish(left_ms, stopping_ms, route.kind, max_output, hint);
-    log_stop_check(instance, route, headers, id, (accepted, false));
-    if accepted { Ok(()) } else { Err(stopping(instance)) }
-}
-
-/// Logs whether a request was accepted by a stopping instance, whether it had been waiting for a permit, and the inputs of
-/// that decision.
-fn log_stop_check(
-    instance: &RouteInstance,
-    route: &Route,
-    headers: &HeaderMap,
-    id: &str,
-    (accepted, waiting): (bool, bool),
-) {
-    let (max_output, hint) = output_bounds(instance, headers);
-    spdlog::info!("stop_check", kv: {
-        request: = id,
-        route: = route.name.as_str(),
-        accepted,
-        waiting,
-        left_ms = instance.time_to_stop().map_or(0, |left| left.as_millis() as u64),
-        stopping_ms = instance.stopping_ms(),
-        max_output,
-        hint,
-    });
-}
-
-/// Returns the limit on the output of a request and the caller's estimate of it, 0 if there is none, in tokens.
-fn output_bounds(instance: &RouteInstance, headers: &HeaderMap) -> (u32, u32) {
-    let request_info = (instance.deployment.callers.decode)(headers);
-    (request_info.size.map_or(u32::MAX, |s| s.max_tokens), request_info.length_hint.unwrap_or(0))
-}
-
-/// Waits until a request must stop waiting for a permit because this instance stops: as soon as it could no longer finish,
-/// so that another instance can run it, or shortly before the end if it may have run already.
-async fn wait_over(instance: &RouteInstance, call: &RouteCall, maybe_started: bool) {
-    if maybe_started {
-        return instance.giving_up.cancelled().await;
-    }
-    let (max_output, hint) = output_bounds(instance, &call.headers);
-    let latest =
-        |serving_ms| leaving::latest_start_ms(serving_ms, call.route.kind, max_output, hint);
-    instance.latest_start(latest).await;
-    log_stop_check(instance, &call.route, &call.headers, &call.id, (false, true));
-}
-
-fn stopping(instance: &RouteInstance) -> ApiError {
-    let message = "this instance stops before it could answer this request".to_owned();
-    let mut error = ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping", message);
-    error.retry_ms = stopping_retry_ms(instance);
-    error
-}
-
-/// The delay after which a request that this instance would not finish can be served: almost none if
-/// another instance keeps running, else until the first instance may be back.
-fn stopping_retry_ms(instance: &RouteInstance) -> u32 {
-    let (now, grace) = (instance.daemon.now(), instance.bounds().grace_ms);
-    let silence = instance.daemon.config().document.routing.peer_ms;
-    let first_exit_ms =
-        instance.daemon.read(|state| state.membership.first_exit(now, silence, grace));
-    first_exit_ms.map_or(STOPPING_RETRY_MS, |at| (at.saturating_sub(now) + RESTART_MS) as u32)
-}
-
 fn not_ready(message: &str) -> ApiError {
     let mut error =
         ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message.to_owned());
--- a/agaterouted/src/stream_relay.rs
+++ b/agaterouted/src/stream_relay.rs
@@ -122,11 +122,7 @@
             let began = Instant::now();
             let end = self.forward_events(&mut stream).await;
             let end = match end {
-                StreamEnd::Complete
-                    if stream.ends_with_connection() && self.server_refuses().await =>
-                {
-                    StreamEnd::Cut("the server was gone at the end of its answer".to_owned())
-                }
+                StreamEnd::Complete if stream.ends_with_connection() => self.check_end().await,
                 end => end,
             };
             let next = match end {
@@ -167,6 +163,18 @@
         }
     }
 
+    /// Tells whether a stream that ended with its connection is complete, unless this instance ends before that is known.
+    async fn check_end(&self) -> StreamEnd {
+        tokio::select! {
+            biased;
+            refuses = self.server_refuses() => match refuses {
+                true => StreamEnd::Cut("the server was gone at the end of its answer".to_owned()),
+                false => StreamEnd::Complete,
+            },
+            () = self.instance.ending.cancelled() => StreamEnd::InstanceEnds,
+        }
+    }
+
     /// Whether the server refuses connections: a process that crashes closes its connections as one that has sent its
     /// whole answer does. A connection that is not made in time shows nothing.
     async fn server_refuses(&self) -> bool {
@@ -444,7 +452,14 @@
     async fn recover_from_cut(&mut self, cause: &str, began: Instant) -> Option<Stream> {
         let StreamRequest { call, server, .. } = &self.request;
         let began = Some(began.elapsed());
-        let signal = attempt::check_crashed(&self.instance, call, server, began).await;
+        let signal = tokio::select! {
+            biased;
+            signal = attempt::check_crashed(&self.instance, call, server, began) => signal,
+            () = self.instance.ending.cancelled() => {
+                self.give_up(ServerSignal::None, "instance_ends").await;
+                return None;
+            }
+        };
         spdlog::warn!("stream_cut", kv: {
             request: = &*self.request.call.id,
             server: = &*self.request.server.name,
