Close used idle connections once the load balancer has removed a stopping instance

Callers saw 503 on the next request of a kept connection until the end of a stop (a reviewer measured one open 6.5 s after SIGTERM). Closing it unread lets them begin at another instance instead of spending a retry. Not before 2.5 s, as new connections would come back here until two readiness checks have failed; and not unused ones, which may come from a load balancer that has no other instance.

--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -33,6 +33,9 @@
 /// How long a stopping instance continues to serve at least: the load balancer removes it after two
 /// readiness checks at intervals of one second, and requests that it sent before arrive a little later.
 const MIN_LEAVE_TIME: Duration = Duration::from_millis(3_500);
+/// How long after the order to stop the load balancer has removed this instance, so that callers whose connections are
+/// closed reach another one.
+const REMOVAL_TIME: Duration = Duration::from_millis(2_500);
 /// How long before the end of the grace period the remaining requests are stopped.
 const GRACE_MARGIN: Duration = Duration::from_millis(600);
 /// How long before the process ends the last answers are sent.
@@ -64,6 +67,8 @@
     pub busy_requests: AtomicI64,
     /// The connections of callers on which a request has arrived and its answer is not written whole.
     pub unsent_answers: AtomicI64,
+    /// Cancelled when a stopping instance closes the connections of callers that have had an answer.
+    pub retiring: CancellationToken,
     /// Cancelled when no more connections of callers are accepted.
     pub draining: CancellationToken,
     /// Cancelled by the order to stop, once it is known until when this instance serves.
@@ -174,6 +179,7 @@
         announce_notify: Notify::new(),
         busy_requests: AtomicI64::new(0),
         unsent_answers: AtomicI64::new(0),
+        retiring: cancel.child_token(),
         draining: cancel.child_token(),
         stopping: cancel.child_token(),
         giving_up: cancel.child_token(),
@@ -377,7 +383,11 @@
             tokio::time::sleep(LEAVE_POLL_INTERVAL).await;
         }
     };
-    tokio::join!(work, announcement);
+    let retire = async {
+        tokio::time::sleep(REMOVAL_TIME).await;
+        instance.retiring.cancel();
+    };
+    tokio::join!(work, announcement, retire);
     close_connections(instance, stop_time + max_time + LAST_ANSWERS_TIME).await;
     let active = daemon.active.load(Ordering::Acquire);
     spdlog::info!("work_ended", kv: { active, after_ms = stop_time.elapsed().as_millis() as u64 });
--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -89,6 +89,8 @@
     state: Mutex<(ConnectionState, Instant)>,
     /// Whether an answer is under way whose end only the end of this connection marks.
     ends_answer: AtomicBool,
+    /// Whether a request has arrived.
+    used: AtomicBool,
     /// The id of the last request, and why the connection ended, for the log.
     last: Mutex<(Option<HeaderValue>, Option<String>)>,
 }
@@ -111,6 +113,7 @@
             instance,
             state: Mutex::new((ConnectionState::Idle(None), Instant::now())),
             ends_answer: AtomicBool::new(false),
+            used: AtomicBool::new(false),
             last: Mutex::default(),
         }
     }
@@ -119,6 +122,11 @@
         self.last.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a request has arrived on the connection.
+    fn is_used(&self) -> bool {
+        self.used.load(Ordering::Acquire)
+    }
+
     fn ended(&self, cause: impl ToString) {
         self.last().1 = Some(cause.to_string());
     }
@@ -129,6 +137,7 @@
 
     fn request_started(&self, id: Option<&HeaderValue>) {
         self.last().0 = id.cloned();
+        self.used.store(true, Ordering::Release);
         let mut state = self.lock();
         if matches!(state.0, ConnectionState::Idle(_)) {
             self.instance.unsent_answers.fetch_add(1, Ordering::AcqRel);
@@ -215,9 +224,14 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(io, service_fn(handler));
     let mut served = std::pin::pin!(served);
-    let mut draining = false;
+    let (mut retired, mut draining) = (false, false);
     loop {
         tokio::select! {
+            // A connection that was not used yet may come from a load balancer that has no other instance.
+            () = instance.retiring.cancelled(), if !retired && activity.is_used() => {
+                retired = true;
+                served.as_mut().graceful_shutdown();
+            }
             () = instance.draining.cancelled(), if !draining => {
                 draining = true;
                 served.as_mut().graceful_shutdown();
--- a/agaterouted/tests/stop_bounds.rs
+++ b/agaterouted/tests/stop_bounds.rs
@@ -289,3 +289,22 @@
     drop(unread);
     assert!(eventually_some("the instance stops", async || instance.exit_success()).await);
 }
+
+// Guards against callers whose next request is refused, on a connection that stayed open though their load balancer has
+// taken the instance out.
+#[tokio::test]
+async fn idle_connection_closed_before_the_end() {
+    let platform = start_platform(1, 1, 3_000).await;
+    let mut instance = platform.start_instance(5_000).await;
+    let mut kept = open_kept(&instance, "/order/", "first").await;
+    let mut running = TcpStream::connect(&instance.listen).await.expect("a connection");
+    let head = request_head("/draft/", "running", 20_000, "content-length: 0");
+    running.write_all(head.as_bytes()).await.expect("the request is sent");
+    let mut status = [0; 12];
+    running.read_exact(&mut status).await.expect("a status");
+    instance.terminate();
+    assert_eq!(kept.read(&mut [0; 1]).await.expect("an orderly end"), 0);
+    assert!(!instance.logged("event=work_ended"), "the stream keeps the instance running");
+    drop(running);
+    assert!(eventually_some("the instance stops", async || instance.exit_success()).await);
+}
