Log what a cut request was doing, not the state after its end

caller_connection_cut said state=sending for requests that ran and streams under way: the end of the request sets the state before the connection is dropped (found by a reviewer). It keeps the state of a request that ended without all of its answer.

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -93,6 +93,8 @@
     used: AtomicBool,
     /// The id of the last request, and why the connection ended, for the log.
     last: Mutex<(Option<HeaderValue>, Option<String>)>,
+    /// What a request was doing that ended without all of its answer.
+    unfinished: Mutex<Option<ConnectionState>>,
 }
 
 impl ConnectionState {
@@ -115,6 +117,7 @@
             ends_answer: AtomicBool::new(false),
             used: AtomicBool::new(false),
             last: Mutex::default(),
+            unfinished: Mutex::default(),
         }
     }
 
@@ -127,6 +130,10 @@
         self.used.load(Ordering::Acquire)
     }
 
+    fn unfinished(&self) -> Option<ConnectionState> {
+        *self.unfinished.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn ended(&self, cause: impl ToString) {
         self.last().1 = Some(cause.to_string());
     }
@@ -149,8 +156,11 @@
         self.lock().0 = ConnectionState::Answering;
     }
 
-    fn request_ended(&self) {
-        *self.lock() = (ConnectionState::Sending, Instant::now());
+    fn request_ended(&self, is_complete: bool) {
+        let state =
+            std::mem::replace(&mut *self.lock(), (ConnectionState::Sending, Instant::now()));
+        let mut unfinished = self.unfinished.lock().unwrap_or_else(PoisonError::into_inner);
+        *unfinished = (!is_complete).then_some(state.0);
     }
 
     fn bytes_read(&self) {
@@ -196,7 +206,7 @@
         let last = self.last();
         spdlog::info!("caller_connection_cut", kv: {
             request: = last.0.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-"),
-            state = state.as_str(),
+            state = self.unfinished().unwrap_or(state).as_str(),
             // Without a cause, the task of the connection ended with the process.
             cause: = last.1.as_deref().unwrap_or("instance_ends"),
             stopping_ms = self.instance.stopping_ms(),
@@ -265,7 +275,7 @@
     activity.request_started(request.headers().get(instance.deployment.callers.id_header));
     instance.busy_requests.fetch_add(1, Ordering::AcqRel);
     let has_chunks = request.version() > Version::HTTP_10;
-    let guard = BusyGuard { instance: instance.clone(), activity };
+    let guard = BusyGuard { instance: instance.clone(), activity, is_complete: false };
     let response = serve::handle(instance, request).await;
     let ends_answer = !has_chunks && response.body().size_hint().exact().is_none();
     guard.activity.ends_answer.store(ends_answer, Ordering::Release);
@@ -277,12 +287,14 @@
 struct BusyGuard {
     instance: Arc<RouteInstance>,
     activity: Arc<ConnectionActivity>,
+    /// Whether the HTTP library has taken all of the answer.
+    is_complete: bool,
 }
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         self.instance.busy_requests.fetch_sub(1, Ordering::AcqRel);
-        self.activity.request_ended();
+        self.activity.request_ended(self.is_complete);
     }
 }
 
@@ -305,6 +317,9 @@
         if matches!(frame, Poll::Ready(None)) {
             self.guard.activity.ends_answer.store(false, Ordering::Release);
         }
+        let is_error = matches!(frame, Poll::Ready(Some(Err(_))));
+        self.guard.is_complete =
+            !is_error && (matches!(frame, Poll::Ready(None)) || self.body.is_end_stream());
         frame
     }
 
