Let callers that still send their body read the refusal of a stopping instance

Callers whose body was under way met a broken pipe, and on a real network a reset that can overtake the 503: without that promise an unsafe call can't be sent again. Cause: the HTTP library closes a connection whose request was answered before its body was read, and bytes that arrive later reset it. Change: a body under way is read to its end, or to the end of the instance, before it is refused; and after the last answer of a connection what still arrives is read and discarded, for 1 s and 1 MiB at most, before the socket is closed. It holds for each answer that comes before the end of its body (401, 404, 413 too).

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,12 +16,13 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::daemon::millis;
@@ -32,6 +33,11 @@
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How long, and up to how many bytes, a connection is read after its last answer before it is closed.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+const MAX_LINGER_BYTES: usize = 1024 * 1024;
+/// The bytes that are then read at once.
+const LINGER_BLOCK_BYTES: usize = 4 * 1024;
 /// The most header fields of one request.
 const MAX_HEADERS: usize = 100;
 /// The smallest read buffer that hyper accepts.
@@ -219,7 +225,12 @@
         spdlog::debug!("nodelay_not_set", kv: { error: });
     }
     let activity = Arc::new(ConnectionActivity::new(instance.clone()));
-    let io = TrackedIo { io: TokioIo::new(stream), activity: activity.clone(), resets: false };
+    let io = TrackedIo {
+        io: TokioIo::new(stream),
+        activity: activity.clone(),
+        resets: false,
+        linger: None,
+    };
     let limits = instance.daemon.config().document.limits.clone();
     let max_head_bytes =
         (limits.header_bytes as usize * 2).clamp(MIN_HEAD_BUFFER_BYTES, MAX_HEAD_BUFFER_BYTES);
@@ -338,6 +349,8 @@
     activity: Arc<ConnectionActivity>,
     /// Whether closing the socket resets the connection.
     resets: bool,
+    /// Until when bytes of a caller are discarded after the end of the last answer, and how many may still come.
+    linger: Option<(Pin<Box<Sleep>>, usize)>,
 }
 
 impl TrackedIo {
@@ -355,6 +368,26 @@
         }
     }
 
+    /// Reads and discards what a caller still sends, until it has closed the connection too. Closing the socket before would
+    /// reset the connection, and the caller might lose the answer.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let (until, left) = self
+            .linger
+            .get_or_insert_with(|| (Box::pin(tokio::time::sleep(LINGER_TIME)), MAX_LINGER_BYTES));
+        let mut block = [0; LINGER_BLOCK_BYTES];
+        while *left > 0 {
+            let mut read = ReadBuf::new(&mut block);
+            match Pin::new(&mut self.io).poll_read(cx, read.unfilled()) {
+                Poll::Ready(Ok(())) if !read.filled().is_empty() => {
+                    *left = left.saturating_sub(read.filled().len());
+                }
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return until.as_mut().poll(cx),
+            }
+        }
+        Poll::Ready(())
+    }
+
     fn record_written(&self, written: &Poll<std::io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(_))) {
             self.activity.bytes_written();
@@ -399,7 +432,13 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         self.update_linger();
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+        }
+        if !self.resets {
+            ready!(self.poll_linger(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -3,6 +3,7 @@
 //! The request is checked and waits for a permit here, [`crate::attempt`] sends it, and its answer is
 //! forwarded: buffered answers from here, streams by [`crate::stream_relay`].
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -146,14 +147,19 @@
 ) -> Result<Response<BoxBody>, ApiError> {
     let config = instance.daemon.config();
     let (route, organisation) = check(instance, &config, (&head, id), arrived)?;
-    let read = read_body(body, &config, millis(route.timeout_ms));
+    let mut read = pin!(read_body(body, &config, millis(route.timeout_ms)));
     // The order to stop may come while the body arrives.
     let body = tokio::select! {
         biased;
         () = refused_at_stop(instance, (&route, &head.headers, id), arrived) => {
+            // A caller that still sends would meet a reset instead of the answer.
+            tokio::select! {
+                _ = read => {}
+                () = instance.giving_up.cancelled() => {}
+            }
             return Err(stopping(instance));
         }
-        body = read => body?,
+        body = &mut read => body?,
     };
     let origin = (arrived, Via::Route, 0);
     let received = (head, body, id.clone());
--- a/agaterouted/tests/stop_bounds.rs
+++ b/agaterouted/tests/stop_bounds.rs
@@ -308,3 +308,53 @@
     drop(running);
     assert!(eventually_some("the instance stops", async || instance.exit_success()).await);
 }
+
+/// The length of a body that its caller sends byte by byte.
+const BODY_BYTES: usize = 8_000;
+
+/// Sends the rest of a body byte by byte, and checks that the connection takes it and brings a whole refusal.
+async fn check_refused_in_order(mut stream: TcpStream, rest: usize) {
+    for _ in 0..rest {
+        stream.write_all(b"x").await.expect("a byte is sent");
+        tokio::task::yield_now().await;
+    }
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("an orderly end");
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 503") && is_whole(&answer), "{answer:?}");
+}
+
+// Guards against callers that are refused while they still send their body, and meet a reset before they read the refusal.
+#[tokio::test]
+async fn refusal_during_body() {
+    let platform = start_platform(1, 0, 0).await;
+    let mut instance = platform.start_instance(5_000).await;
+    let mut stream = open_kept(&instance, "/order/", "first").await;
+    let framing = format!("content-length: {BODY_BYTES}");
+    let head = request_head("/order/", "refused", 20_000, &framing);
+    stream.write_all(head.as_bytes()).await.expect("the head is sent");
+    stream.write_all(&[b'x'; BODY_BYTES / 2]).await.expect("half of the body is sent");
+    instance.terminate();
+    eventually("the refusal is decided", async || {
+        instance.logged("event=stop_check request=refused route=order accepted=false")
+    })
+    .await;
+    check_refused_in_order(stream, BODY_BYTES / 2).await;
+    assert!(eventually_some("the instance stops", async || instance.exit_success()).await);
+}
+
+// The same for a request that is refused at its head.
+#[tokio::test]
+async fn refusal_before_body() {
+    let platform = start_platform(1, 0, 0).await;
+    let mut instance = platform.start_instance(5_000).await;
+    let mut stream = open_kept(&instance, "/order/", "first").await;
+    instance.terminate();
+    eventually("the order to stop has arrived", async || instance.logged("event=leaving")).await;
+    let framing = format!("content-length: {BODY_BYTES}");
+    let head = request_head("/order/", "refused", 20_000, &framing);
+    stream.write_all(head.as_bytes()).await.expect("the head is sent");
+    eventually("the refusal is decided", async || instance.logged("event=request_refused")).await;
+    check_refused_in_order(stream, BODY_BYTES).await;
+    assert!(eventually_some("the instance stops", async || instance.exit_success()).await);
+}
