Wait for answers to peers when an instance ends, and log those that are cut

Callers of an instance that is cut from all servers lost streams that a stopping peer served: 0.2 s earlier than streams of the peer's own callers, and without a line (found by a reviewer). Cause: at the end only answers to own callers were counted, so the process ended at once, without the signal that has each stream end with its line. Forwarded work counts too now, and the signal always comes. Test: cut_from_servers.rs, forwarded_stream_lasts_to_the_end; failed before (no stream_given_up), passes.

--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -337,18 +337,21 @@
 async fn close_connections(instance: &RouteInstance, until: Instant) {
     instance.draining.cancel();
     instance.giving_up.cancel();
-    if wait_until_idle(instance, until).await {
+    let is_idle = wait_until_idle(instance, until).await;
+    instance.ending.cancel();
+    if is_idle {
         return;
     }
-    instance.ending.cancel();
     wait_until_idle(instance, Instant::now() + CLOSE_TIME).await;
 }
 
-/// Waits until every caller has its whole answer. Returns false if some are left at `until`.
+/// Waits until every caller and peer has its whole answer. Returns false if some are left at `until`.
 async fn wait_until_idle(instance: &RouteInstance, until: Instant) -> bool {
     loop {
         tokio::time::sleep(LEAVE_POLL_INTERVAL).await;
-        if instance.unsent_answers.load(Ordering::Acquire) <= 0 {
+        if instance.unsent_answers.load(Ordering::Acquire) <= 0
+            && instance.busy_requests.load(Ordering::Acquire) <= 0
+        {
             return true;
         }
         if Instant::now() >= until {
--- a/agaterouted/tests/cut_from_servers.rs
+++ b/agaterouted/tests/cut_from_servers.rs
@@ -7,7 +7,7 @@
 
 use agateroute_standin::{Behaviour, Server};
 use agatestand::fault::{FaultProxy, Faults};
-use agatestand::instance::{Instance, Launch, eventually};
+use agatestand::instance::{Instance, Launch, eventually, eventually_some};
 use futures_util::future::join_all;
 use http::StatusCode;
 use platform_fixture::{TestPlatform, start_platform};
@@ -141,3 +141,28 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "a server may have run it");
     assert_eq!(runs(), before + 1, "it ran again");
 }
+
+// Guards against a stream that an instance serves for a peer, and that the end of its process cuts off earlier than streams
+// of its own callers and without a line in its log.
+#[tokio::test]
+async fn forwarded_stream_lasts_to_the_end() {
+    let platform = start_platform(3, 2, 4_000).await;
+    let (cut, mut other) = start_pair(&platform).await;
+    cut.set(REFUSED);
+    eventually("requests are forwarded", async || {
+        cut.instance.call("POST", "/order/", "yew-key", "").await;
+        cut.instance.logged("event=request_forwarded")
+    })
+    .await;
+    let stream = cut.instance.call("POST", "/draft/", "yew-key", "");
+    let stop = async {
+        eventually("the stream runs", async || cut.instance.logged("outcome=streams")).await;
+        other.terminate();
+        assert!(eventually_some("the instance stops", async || other.exit_success()).await);
+    };
+    let (answer, ()) = tokio::join!(stream, stop);
+    assert!(!answer.complete, "it would have lasted for longer");
+    let logged = async || other.find("event=stream_given_up");
+    let line = eventually_some("the cut is logged", logged).await;
+    assert!(line.contains("cause=instance_ends"), "{line}");
+}
