Handle SIGHUP before anything else

It is now there before the listeners, and without a platform logs hangup_ignored. Test: lifecycle.rs, hangup_ends_nothing; failed before (stream cut). The first milliseconds before main are not covered by a test.

--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -152,6 +152,8 @@
 }
 
 async fn serve(deployment: Deployment) -> Result<(), StartError> {
+    // Without a handler SIGHUP ends the process. It stays in place after this stream is dropped.
+    drop(signal_stream(SignalKind::hangup())?);
     let mut settings = deployment.settings.clone();
     let callers = bind(deployment.listeners.callers).await?;
     let ready = bind(deployment.listeners.ready).await?;
--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use agateroute_config::{Settings, parse_document, parse_settings};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use xitca_web::HttpServer;
 use xitca_web::service::fn_service;
@@ -66,6 +66,7 @@
         .build()
         .map_err(at_step("runtime"))?;
     let _guard = runtime.enter();
+    runtime.spawn(ignore_hangups(signal(SignalKind::hangup()).map_err(at_step("signals"))?));
     let telemetry = Telemetry::start(&settings).map_err(at_step("telemetry"))?;
     let (jobs, job_queue) = tokio::sync::mpsc::unbounded_channel();
     let daemon = Arc::new(Daemon::new(settings, telemetry, jobs));
@@ -187,6 +188,13 @@
     Ok(move || handle.stop(false))
 }
 
+/// Keeps SIGHUP from ending the process. The settings are read at the start only.
+async fn ignore_hangups(mut hangups: Signal) {
+    while hangups.recv().await.is_some() {
+        spdlog::info!("hangup_ignored");
+    }
+}
+
 /// Waits for a stop signal, then for `notice_ms`, until no request is in progress and the last tallies are written.
 async fn wait_for_stop(daemon: &Daemon) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(at_step("signals"))?;
--- a/agaterouted/tests/lifecycle.rs
+++ b/agaterouted/tests/lifecycle.rs
@@ -34,6 +34,20 @@
     assert!(status.success(), "{status}");
 }
 
+// Guards against SIGHUP, which many operators send to reload, ending the process with all its work.
+#[tokio::test(flavor = "multi_thread")]
+async fn hangup_ends_nothing() {
+    let mut harness = Harness::new(&[steady(300.0, 5)], &[]).await;
+    harness.start_daemon(false).await;
+    let caller = Caller::new(&harness.daemons[0].listen, "yew");
+    let mut stream = caller.generate("a draft", 300).await;
+    stream.next_token().await.expect("a token");
+    harness.daemons[0].signal("-HUP");
+    assert_eq!(stream.finish().await, StreamEnd::Complete);
+    stream.check_tokens();
+    assert!(harness.daemons[0].child.try_wait().expect("its state").is_none(), "the daemon runs");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn generation_during_last_write() {
     let mut harness = Harness::new(&[steady(800.0, 5)], &[]).await;
