--- a/agateroute_config/src/route.rs
+++ b/agateroute_config/src/route.rs
@@ -43,12 +43,14 @@
     pub enum RouteKind {
         /// Requests are idempotent: running one twice does no harm.
         Repeatable,
-        /// A request runs at most once.
-        Once,
         /// The answer is a stream, and the request runs at most once.
         Stream,
         /// The answer is a stream that another backend server can continue after its last event.
         ResumableStream,
+        /// A request runs at most once.
+        // Stands for the kinds of a later build too, since it is safe for every kind.
+        #[serde(other)]
+        Once,
     }
 
     /// A target of a route, with its weight.
--- a/agateroute_config/src/section.rs
+++ b/agateroute_config/src/section.rs
@@ -1,6 +1,7 @@
 //! The derives shared by all sections of the document and the settings.
 
-/// Derives parsing that rejects unknown fields, serialisation, and a JSON Schema.
+/// Derives parsing, serialisation, and a JSON Schema. The schema alone rejects unknown fields, and files of operators are checked
+/// by it. Parsing ignores them, since documents also come from instances of a later build.
 macro_rules! section {
     ($($item:item)*) => {
         $(
@@ -12,7 +13,7 @@
                 serde::Serialize,
                 schemars::JsonSchema,
             )]
-            #[serde(deny_unknown_fields)]
+            #[schemars(deny_unknown_fields)]
             $item
         )*
     };
--- a/agateroute_config/src/server.rs
+++ b/agateroute_config/src/server.rs
@@ -59,11 +59,13 @@
     #[derive(Copy, Default, Eq)]
     #[serde(rename_all = "snake_case")]
     pub enum Fencing {
+        /// The server refuses the load order or call.
+        Refuses,
         /// The server ignores the number and runs the load order or call.
+        // Stands for the values of a later build too.
         #[default]
+        #[serde(other)]
         Ignores,
-        /// The server refuses the load order or call.
-        Refuses,
     }
 }
 
