--- a/agateroute_proto/tests/two_builds.rs
+++ b/agateroute_proto/tests/two_builds.rs
@@ -142,7 +142,7 @@
         }),
         Body::PartSurvived(PartSurvived { parts: vec![13, 14], ..Default::default() }),
         Body::PartBlock(PartBlock { part: 13, left_ms: 60_000, ..Default::default() }),
-        Body::StreamOrigins(StreamOrigins { origins: vec![origin.clone()], ..Default::default() }),
+        Body::StreamOrigins(StreamOrigins { origins: vec![origin], ..Default::default() }),
         Body::StreamAsk(StreamAsk { request, stream: 5, ..Default::default() }),
         Body::StreamReply(StreamReply { request, origin: Some(origin), ..Default::default() }),
         Body::ServerNotice(ServerNotice {
