Count connections of callers, and bodies that are read or refused

Neither logs nor metrics could tell whether memory goes to many bodies, to their chunks, or to connections. The gauges and the counter have no label but the cause, so callers can not make them grow.

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -107,6 +107,7 @@
 
 impl ConnectionActivity {
     fn new(instance: Arc<RouteInstance>) -> ConnectionActivity {
+        instance.daemon.telemetry.connections.add(1, &[]);
         ConnectionActivity {
             instance,
             state: Mutex::new((ConnectionState::Idle(None), Instant::now())),
@@ -179,6 +180,7 @@
 
 impl Drop for ConnectionActivity {
     fn drop(&mut self) {
+        self.instance.daemon.telemetry.connections.add(-1, &[]);
         let state = self.lock().0;
         if matches!(state, ConnectionState::Idle(_)) {
             return;
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -15,6 +15,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use opentelemetry::KeyValue;
 use opentelemetry::trace::SpanKind;
 use tokio::time::Instant;
 
@@ -31,7 +32,7 @@
 use crate::route_listener::BoxBody;
 use crate::stopping::{refuse_unfinishable, refused_at_stop, stopping, wait_over};
 use crate::stream_relay::{self, StreamRequest};
-use crate::telemetry::extract;
+use crate::telemetry::{Telemetry, extract};
 
 /// The final answer is sent this long before the caller stops waiting.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
@@ -146,7 +147,7 @@
 ) -> Result<Response<BoxBody>, ApiError> {
     let config = instance.daemon.config();
     let (route, organisation) = check(instance, &config, (&head, id), arrived)?;
-    let read = read_body(body, &config, millis(route.timeout_ms));
+    let read = read_body(instance, body, &config, millis(route.timeout_ms));
     // The order to stop may come while the body arrives.
     let body = tokio::select! {
         biased;
@@ -303,22 +304,57 @@
     error
 }
 
-async fn read_body(body: Incoming, config: &Config, time: Duration) -> Result<Bytes, ApiError> {
+/// Reads the body of a request. Metrics say how much is being read, and why bodies are not read to their end.
+async fn read_body(
+    instance: &RouteInstance,
+    body: Incoming,
+    config: &Config,
+    time: Duration,
+) -> Result<Bytes, ApiError> {
+    let telemetry = &instance.daemon.telemetry;
     let max_bytes = config.document.limits.body_bytes;
+    let mut arriving = Arriving { telemetry, bytes: 0 };
+    telemetry.bodies.add(1, &[]);
+    let body = body.map_frame(|frame| {
+        arriving.add(frame.data_ref().map_or(0, Bytes::len));
+        frame
+    });
     let limited = Limited::new(body, max_bytes as usize);
-    match tokio::time::timeout(time, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ApiError::not_run(
+    let read = match tokio::time::timeout(time, limited.collect()).await {
+        Ok(Ok(collected)) => return Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => ApiError::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
             "body_too_large",
             format!("the body is longer than {max_bytes} bytes"),
-        )),
-        Ok(Err(e)) => Err(ApiError::bad_request(format!("body not readable: {e}"))),
-        Err(_) => Err(ApiError::not_run(
+        ),
+        Ok(Err(e)) => ApiError::bad_request(format!("body not readable: {e}")),
+        Err(_) => ApiError::not_run(
             StatusCode::REQUEST_TIMEOUT,
             "body_timeout",
             format!("the body did not arrive within {} ms", time.as_millis()),
-        )),
+        ),
+    };
+    telemetry.refused_bodies.add(1, &[KeyValue::new("cause", read.code)]);
+    Err(read)
+}
+
+/// A body that is being read, for the metrics.
+struct Arriving<'a> {
+    telemetry: &'a Telemetry,
+    bytes: i64,
+}
+
+impl Arriving<'_> {
+    fn add(&mut self, bytes: usize) {
+        self.bytes += bytes as i64;
+        self.telemetry.body_bytes.add(bytes as i64, &[]);
+    }
+}
+
+impl Drop for Arriving<'_> {
+    fn drop(&mut self) {
+        self.telemetry.bodies.add(-1, &[]);
+        self.telemetry.body_bytes.add(-self.bytes, &[]);
     }
 }
 
--- a/agaterouted/src/telemetry.rs
+++ b/agaterouted/src/telemetry.rs
@@ -55,6 +55,14 @@
     pub control_messages: Counter<u64>,
     /// Requests in progress.
     pub active: UpDownCounter<i64>,
+    /// Open connections of callers of routes.
+    pub connections: UpDownCounter<i64>,
+    /// Bodies of requests that are being read.
+    pub bodies: UpDownCounter<i64>,
+    /// Bytes of the bodies of requests that are being read.
+    pub body_bytes: UpDownCounter<i64>,
+    /// Bodies of requests that were not read to their end, by cause.
+    pub refused_bodies: Counter<u64>,
     registry: Registry,
     meter_provider: SdkMeterProvider,
     tracer_provider: SdkTracerProvider,
@@ -88,10 +96,15 @@
                 "agateroute.control_messages",
                 "Messages sent to peers",
             ),
-            active: meter
-                .i64_up_down_counter("agateroute.active")
-                .with_description("Requests in progress")
-                .build(),
+            active: gauge(&meter, "agateroute.active", "Requests in progress"),
+            connections: gauge(&meter, "agateroute.connections", "Connections of callers"),
+            bodies: gauge(&meter, "agateroute.bodies", "Request bodies being read"),
+            body_bytes: gauge(&meter, "agateroute.body_bytes", "Bytes of these bodies"),
+            refused_bodies: counter(
+                &meter,
+                "agateroute.refused_bodies",
+                "Request bodies not read to their end",
+            ),
             tracer: tracer_provider.tracer("agaterouted"),
             registry,
             meter_provider,
@@ -122,6 +135,10 @@
     meter.u64_counter(name).with_description(description).build()
 }
 
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> UpDownCounter<i64> {
+    meter.i64_up_down_counter(name).with_description(description).build()
+}
+
 fn latency(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
     meter
         .f64_histogram(name)
