Reproduce the memory incident: crowds of callers on a small machine

They check the peak of the process, the bytes unread in its sockets, its descriptors, and that an ordinary request is answered while the crowd stays open; no times.

--- /dev/null
+++ b/agaterouted/tests/crowds.rs
@@ -0,0 +1,320 @@
+//! Crowds of callers that keep to no limit but the sizes of the document, and some not to these. Guards against a process
+//! that runs out of memory or descriptors, or serves nobody else, because bodies, heads, connections or answers of such
+//! callers pile up in it. The settings of the tests name a small machine, so that a small crowd shows the fault.
+
+mod platform_fixture;
+
+use std::net::SocketAddr;
+
+use agateroute_standin as standin;
+use agatestand::instance::{Instance, eventually};
+use http::StatusCode;
+use platform_fixture::{TestPlatform, start_platform};
+use rustix::process::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Mutex, MutexGuard};
+use tokio::task::JoinSet;
+
+/// The memory of the machine in MB, and the descriptors of the process, of which 200 are reserved.
+const MEMORY_MB: u64 = 80;
+const DESCRIPTORS: u64 = 400;
+const RESERVED_DESCRIPTORS: u64 = 200;
+/// The longest body that the document allows, and the limit on its header fields.
+const BODY_BYTES: usize = 1 << 20;
+const HEADER_BYTES: usize = 16 << 10;
+/// The connections of most crowds.
+const CALLERS: usize = 150;
+/// The connections of crowds that send a chunk for each byte, and the chunks on each of them.
+const CHUNKING_CALLERS: usize = 8;
+const TINY_CHUNKS: usize = 250_000;
+/// The connections of crowds whose connections are many, more than the descriptors allow.
+const MANY_CALLERS: usize = 400;
+/// The length of a long answer in bytes, and the callers that do not read theirs.
+const ANSWER_BYTES: usize = 12 << 20;
+const UNREAD_ANSWERS: usize = 24;
+/// The length of an ordinary body in bytes.
+const ORDINARY_BYTES: usize = 17_000;
+
+/// Holds off the other tests of this file, since each fills the memory of a process.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
+/// An instance on a small machine, with the sizes of the document in force.
+struct Small {
+    _alone: MutexGuard<'static, ()>,
+    platform: TestPlatform,
+    instance: Instance,
+}
+
+async fn start_small() -> Small {
+    let alone = ONE_AT_A_TIME.lock().await;
+    let platform = start_platform(1, 1, 3).await;
+    let instance = platform.start_instance(5_000).await;
+    let launch = &instance.launch;
+    let limits = (MEMORY_MB, DESCRIPTORS);
+    let settings = standin::limited_settings(&launch.name, launch.store, limits);
+    std::fs::write(launch.settings_file(), settings).expect("the settings");
+    instance.signal(Signal::HUP);
+    eventually("the settings are read", async || instance.logged("event=settings_reloaded")).await;
+    let body_bytes = BODY_BYTES as u64;
+    standin::publish_sizes(&platform.store, 2, body_bytes, HEADER_BYTES as u64);
+    let small = Small { _alone: alone, platform, instance };
+    eventually("long bodies are allowed", async || small.call("/order/", ORDINARY_BYTES).await)
+        .await;
+    small
+}
+
+impl Small {
+    /// Whether a body of this length is served.
+    async fn call(&self, path: &str, length: usize) -> bool {
+        let body = "x".repeat(length);
+        self.instance.call("POST", path, "yew-key", &body).await.status == StatusCode::OK
+    }
+
+    /// Returns the number of open descriptors of the process.
+    fn descriptors(&self) -> u64 {
+        let file = self.instance.launch.settings_file().display().to_string();
+        let is_own = |path: &std::path::Path| {
+            let environ = std::fs::read(path.join("environ")).unwrap_or_default();
+            String::from_utf8_lossy(&environ).contains(&file)
+        };
+        let mut processes = std::fs::read_dir("/proc").expect("the processes").flatten();
+        let own = processes.find(|p| is_own(&p.path())).expect("the instance runs");
+        std::fs::read_dir(own.path().join("fd")).expect("its descriptors").count() as u64
+    }
+
+    /// Returns the bytes that wait in the receive buffers of the connections of callers.
+    fn unread(&self) -> u64 {
+        let port = self.instance.listen.rsplit(':').next().and_then(|p| p.parse::<u16>().ok());
+        let local = format!(":{:04X}", port.expect("a port"));
+        let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the sockets");
+        let queue = |line: &str| {
+            let mut fields = line.split_whitespace().skip(1);
+            let is_own = fields.next()?.ends_with(&local) && fields.nth(1)? != "0A";
+            let queue = u64::from_str_radix(fields.next()?.split(':').nth(1)?, 16).ok()?;
+            is_own.then_some(queue)
+        };
+        sockets.lines().filter_map(queue).sum()
+    }
+
+    /// Checks that the process reads what callers have sent.
+    async fn holds_once_read(&mut self, path: &str) {
+        loop {
+            let before = self.unread();
+            if before == 0 {
+                break;
+            }
+            eventually("more is read or refused", async || self.unread() != before).await;
+        }
+        self.holds(path).await;
+    }
+
+    /// Checks that the process lives within its machine and serves an ordinary caller.
+    async fn holds(&mut self, path: &str) {
+        let served = async || self.call(path, ORDINARY_BYTES).await;
+        eventually("an ordinary request is served", served).await;
+        assert_eq!(self.instance.exit_success(), None, "the process has ended");
+        let (peak, open) = (self.instance.peak_memory_mib(), self.descriptors());
+        let unread = self.unread();
+        println!("peak {peak} MiB, {open} descriptors, {unread} bytes unread");
+        let memory = peak * 1_048_576 + unread;
+        assert!(memory < MEMORY_MB * 1_000_000, "{peak} MiB at the peak, {unread} bytes unread");
+        assert!(open < DESCRIPTORS - RESERVED_DESCRIPTORS, "{open} open descriptors");
+    }
+
+    /// Connects callers that send a head and then blocks of bytes, and then neither send nor read nor close.
+    async fn crowd(&self, callers: usize, head: &str, blocks: &[(&[u8], usize)]) -> Vec<TcpStream> {
+        let mut senders = JoinSet::new();
+        for _ in 0..callers {
+            let (address, head) = (self.instance.listen.clone(), head.to_owned());
+            let blocks: Vec<_> = blocks.iter().map(|(b, times)| (b.to_vec(), *times)).collect();
+            senders.spawn(async move {
+                // A caller that is turned away fails at any point; that is its own affair.
+                let mut stream = TcpStream::connect(&address).await.ok()?;
+                stream.write_all(head.as_bytes()).await.ok()?;
+                for (block, times) in blocks {
+                    for _ in 0..times {
+                        stream.write_all(&block).await.ok()?;
+                    }
+                }
+                Some(stream)
+            });
+        }
+        senders.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+/// Returns the head of a request with more header fields.
+fn head(path: &str, fields: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: {}\r\n{}: crowd\r\nauthorization: {}\r\n{fields}\r\n",
+        standin::HOST,
+        standin::REQUEST_ID_HEADER,
+        standin::authorization("yew-key"),
+    )
+}
+
+fn sized(path: &str, length: usize) -> String {
+    head(path, &format!("content-length: {length}\r\n"))
+}
+
+fn chunked(path: &str) -> String {
+    head(path, "transfer-encoding: chunked\r\n")
+}
+
+/// Returns a chunk of this many bytes.
+fn chunk(length: usize) -> Vec<u8> {
+    let mut chunk = format!("{length:x}\r\n").into_bytes();
+    chunk.resize(chunk.len() + length, b'x');
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
+
+// Guards against memory for large bodies that stop one byte before their end.
+#[tokio::test]
+async fn crowd_of_sized_bodies() {
+    let mut small = start_small().await;
+    let body = vec![b'x'; BODY_BYTES - 1];
+    let _open = small.crowd(CALLERS, &sized("/order/", BODY_BYTES), &[(&body, 1)]).await;
+    small.holds_once_read("/order/").await;
+}
+
+// Guards against memory for whole bodies whose servers do not answer.
+#[tokio::test]
+async fn crowd_of_whole_bodies() {
+    let mut small = start_small().await;
+    small.platform.plain[0].hold_answers();
+    let body = vec![b'x'; BODY_BYTES];
+    let _open = small.crowd(CALLERS, &sized("/order/", BODY_BYTES), &[(&body, 1)]).await;
+    small.holds_once_read("/draft/").await;
+}
+
+// Guards against memory for bodies in large chunks that stop before their last chunk.
+#[tokio::test]
+async fn crowd_of_large_chunks() {
+    let mut small = start_small().await;
+    let large = chunk(BODY_BYTES / 8);
+    let _open = small.crowd(CALLERS, &chunked("/order/"), &[(&large, 8)]).await;
+    small.holds_once_read("/order/").await;
+}
+
+// Guards against what a chunk costs beside its bytes.
+#[tokio::test]
+async fn crowd_of_tiny_chunks() {
+    let mut small = start_small().await;
+    let tiny = chunk(1).repeat(1_000);
+    let blocks = [(tiny.as_slice(), TINY_CHUNKS / 1_000)];
+    let _open = small.crowd(CHUNKING_CALLERS, &chunked("/order/"), &blocks).await;
+    small.holds_once_read("/order/").await;
+}
+
+// Guards against reading what is announced or sent beyond the limit.
+#[tokio::test]
+async fn crowd_of_bodies_over_the_limit() {
+    let mut small = start_small().await;
+    let large = chunk(BODY_BYTES / 8);
+    let _sent = small.crowd(CALLERS / 2, &chunked("/order/"), &[(&large, 32)]).await;
+    let body = vec![b'x'; BODY_BYTES - 1];
+    let announced = sized("/order/", BODY_BYTES * 1_000);
+    let _announced = small.crowd(CALLERS, &announced, &[(&body, 1)]).await;
+    small.holds_once_read("/order/").await;
+}
+
+// Guards against descriptors and memory for heads that stop short.
+#[tokio::test]
+async fn crowd_of_unfinished_heads() {
+    let mut small = start_small().await;
+    let start = format!("POST /order/ HTTP/1.1\r\nx-long: {}", "x".repeat(HEADER_BYTES));
+    let _open = small.crowd(MANY_CALLERS, &start, &[]).await;
+    small.holds_once_read("/order/").await;
+}
+
+// Guards against descriptors for connections without a request.
+#[tokio::test]
+async fn crowd_without_requests() {
+    let mut small = start_small().await;
+    let _open = small.crowd(MANY_CALLERS, "", &[]).await;
+    small.holds("/order/").await;
+}
+
+/// Answers each request with a long body.
+async fn start_long_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_long(stream));
+        }
+    });
+    address
+}
+
+async fn answer_long(mut stream: TcpStream) {
+    let mut read = Vec::new();
+    while !read.windows(4).any(|w| w == b"\r\n\r\n") {
+        let mut block = [0; 4096];
+        match stream.read(&mut block).await {
+            Ok(0) | Err(_) => return,
+            Ok(count) => read.extend_from_slice(&block[..count]),
+        }
+    }
+    let head = String::from_utf8_lossy(&read).into_owned();
+    let start = format!("{}: ", standin::REQUEST_ID_HEADER);
+    let id = head.lines().find_map(|l| l.strip_prefix(&start)).unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{start}{id}\r\n{}: long\r\ncontent-length: {ANSWER_BYTES}\r\n\r\n",
+        standin::SIGNATURE_HEADER,
+    );
+    let _ = stream.write_all(head.as_bytes()).await;
+    let _ = stream.write_all(&vec![b'x'; ANSWER_BYTES]).await;
+}
+
+// Guards against memory for answers whose callers do not read them.
+#[tokio::test]
+async fn crowd_that_does_not_read() {
+    let mut small = start_small().await;
+    standin::unlist(&small.platform.store, "ledger-0");
+    standin::list(&small.platform.store, "long", start_long_server().await);
+    eventually("the long answers begin", async || {
+        let answer = small.instance.call("POST", "/order/", "yew-key", "").await;
+        answer.body.len() == ANSWER_BYTES
+    })
+    .await;
+    let mut open = Vec::new();
+    for _ in 0..UNREAD_ANSWERS {
+        open.extend(small.crowd(1, &sized("/order/", 0), &[]).await);
+    }
+    for stream in &mut open {
+        // Either the answer begins or the connection is closed.
+        let _ = stream.read(&mut [0; 12]).await;
+    }
+    small.holds("/draft/").await;
+}
+
+// Guards against a bound that refuses a single caller inside the limits.
+#[tokio::test]
+async fn largest_body_in_calm() {
+    let mut small = start_small().await;
+    assert!(small.call("/order/", BODY_BYTES).await);
+    let tiny = chunk(1).repeat(1_024);
+    let blocks = [(tiny.as_slice(), BODY_BYTES / 1_024), (b"0\r\n\r\n".as_slice(), 1)];
+    let mut streams = small.crowd(1, &chunked("/order/"), &blocks).await;
+    let mut status = [0; 12];
+    streams[0].read_exact(&mut status).await.expect("a status");
+    assert_eq!(&status, b"HTTP/1.1 200");
+    small.holds("/order/").await;
+}
+
+// Guards against memory for bodies that go on after an early answer, and for requests behind one that is not answered.
+#[tokio::test]
+async fn crowd_behind_other_requests() {
+    let mut small = start_small().await;
+    small.platform.plain[0].hold_answers();
+    let body = vec![b'x'; BODY_BYTES];
+    let _early = small.crowd(CALLERS / 2, &sized("/nowhere/", BODY_BYTES), &[(&body, 1)]).await;
+    let next = sized("/order/", BODY_BYTES);
+    let first = sized("/order/", 5);
+    let blocks = [(b"first".as_slice(), 1), (next.as_bytes(), 1), (&body[1..], 1)];
+    let _behind = small.crowd(CALLERS / 2, &first, &blocks).await;
+    small.holds("/draft/").await;
+}
