--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod auth;
 pub mod body;
+pub mod body_memory;
 pub mod call;
 pub mod claims;
 pub mod client;
