--- a/agateroute_adapter/src/deployment.rs
+++ b/agateroute_adapter/src/deployment.rs
@@ -78,9 +78,13 @@
     pub ready_path: &'static str,
 }
 
-/// The time limits and the retry budget that a platform sets.
+/// The time limits, the retry budget and the machine's limits that a platform sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
+    /// The memory of the process, in bytes.
+    pub memory: usize,
+    /// The number of descriptors of the process, with those that are reserved for files.
+    pub descriptors: usize,
     /// How long a revoked key may still be served, in milliseconds.
     pub revoke_ms: u64,
     /// How long a new document may take to come into force, in milliseconds.
