Bound what callers can make an instance hold

Callers saw: an instance that crowds of callers filled was killed for its memory, and everybody's requests on it ended without an answer.

Cause: bodies, heads, connections and unread answers had bounds for one request only. Besides, a byte in a chunk of its own cost 38, since each chunk was kept as a slice of the HTTP library's read buffer, and an announced length over the limit was read up to the limit before it was refused.

Change: bodies and unfinished heads count against a quarter of the memory that the settings name, answers against another one until their callers have read them, and connections against a third one and half of the descriptors. Bodies are copied into one buffer. At a bound, what has gone longest without progress gives way, or else the newcomer is refused; 408 and 503 are sent before the body is whole, so nothing has run, and close the connection. The receive buffer of a connection is 32 KiB, since bytes that are not read yet count too.

The bound for answers was fixed at 48 MB; on the smallest machine it is 41 MB now. It also counts answers that are being sent.

New tests: refusals name a time to come again, stalled bodies give way to one that goes on, and bodies count until dropped.

--- a/agaterouted/src/answer_body.rs
+++ b/agaterouted/src/answer_body.rs
@@ -1,18 +1,21 @@
 //! Reads the body of an answer into memory, within bounds for one answer and for all answers together.
 //!
-//! A backend server in trouble may send a body without end, and several may do so at once.
+//! A backend server in trouble may send a body without end, and several may do so at once. Callers may not read their
+//! answers, so an answer counts until its caller has it.
 
-use bytes::{Bytes, BytesMut};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::sync::Semaphore;
+
+use crate::body_memory::{RESERVE_DIVISOR, SMALL_BYTES, next_capacity};
+use crate::connections::Connections;
 
 /// The longest body of one answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// The memory for the bodies of all answers that are being read, in bytes. The smallest instances have 165 MB.
-const MAX_TOTAL_BYTES: usize = 48 * 1024 * 1024;
-/// The unit in which that memory is counted.
-const UNIT_BYTES: usize = 16 * 1024;
+/// Answers may use the memory of the process divided by this.
+const MEMORY_DIVISOR: usize = 4;
 
 /// Why a body could not be read.
 #[derive(Debug, derive_more::Display)]
@@ -23,44 +26,95 @@
     /// The body is longer than any that is accepted.
     #[display("body longer than {MAX_ANSWER_BYTES} bytes")]
     TooLong,
-    /// The bodies that are being read together take all the memory that is set aside for them.
+    /// The answers that are being read or sent together take all the memory that is set aside for them.
     #[display("no memory left for the body")]
     NoMemory,
 }
 
-/// The memory for the bodies of all answers that are being read.
+/// The memory for the bodies of all answers that are being read, or sent to their callers.
 #[derive(Debug)]
 pub struct AnswerMemory {
-    units: Semaphore,
+    /// The most bytes that may be counted, and those that are.
+    state: Mutex<(usize, usize)>,
+    /// Connections that close if their callers do not read and memory is short.
+    connections: Arc<Connections>,
+}
+
+/// The body of an answer, which counts until it is dropped.
+#[derive(Debug)]
+struct CountedBody {
+    buffer: Vec<u8>,
+    memory: Arc<AnswerMemory>,
+    counted: usize,
 }
 
-impl Default for AnswerMemory {
-    fn default() -> AnswerMemory {
-        AnswerMemory { units: Semaphore::new(MAX_TOTAL_BYTES / UNIT_BYTES) }
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        // Freed first, so that no more memory is in use than counted.
+        self.buffer = Vec::new();
+        self.memory.lock().1 -= self.counted;
+    }
+}
+
+impl AsRef<[u8]> for CountedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.buffer
     }
 }
 
 impl AnswerMemory {
-    /// Reads a whole body. Its memory counts until this returns.
-    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
-        let mut read = BytesMut::new();
-        let mut taken = self.units.try_acquire().map_err(|_| BodyError::NoMemory)?;
+    /// Creates a bound that is a share of the memory of the process, in bytes.
+    pub fn new(memory: usize, connections: Arc<Connections>) -> Arc<AnswerMemory> {
+        let state = Mutex::new((memory / MEMORY_DIVISOR, 0));
+        Arc::new(AnswerMemory { state, connections })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (usize, usize)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the memory of the process. What is counted already stays.
+    pub fn resize(&self, memory: usize) {
+        self.lock().0 = memory / MEMORY_DIVISOR;
+    }
+
+    /// Counts more bytes for a body that then takes `total`. Long ones leave a part of the bound to others.
+    fn count(&self, more: usize, total: usize) -> bool {
+        let mut state = self.lock();
+        let reserve = if total > SMALL_BYTES { state.0 / RESERVE_DIVISOR } else { 0 };
+        let fits = state.1 + more <= state.0 - reserve;
+        if fits {
+            state.1 += more;
+        }
+        fits
+    }
+
+    /// Reads a whole body. Its memory counts until the returned bytes and all their copies are dropped.
+    pub async fn read(self: &Arc<Self>, mut body: Incoming) -> Result<Bytes, BodyError> {
+        let announced = body.size_hint().exact().map_or(usize::MAX, |length| length as usize);
+        let most = announced.min(MAX_ANSWER_BYTES);
+        let mut read = CountedBody { buffer: Vec::new(), memory: self.clone(), counted: 0 };
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
-            let length = read.len() + data.len();
+            let length = read.buffer.len() + data.len();
             if length > MAX_ANSWER_BYTES {
                 return Err(BodyError::TooLong);
             }
-            let missing = length.div_ceil(UNIT_BYTES).saturating_sub(taken.num_permits());
-            if missing > 0 {
-                let more = self.units.try_acquire_many(missing as u32);
-                taken.merge(more.map_err(|_| BodyError::NoMemory)?);
-            }
-            if read.is_empty() && body.is_end_stream() {
-                return Ok(data);
+            let capacity = read.buffer.capacity();
+            if length > capacity {
+                let next = next_capacity(capacity, length, most);
+                while !self.count(next - capacity, next) {
+                    if !self.connections.close_unread() {
+                        return Err(BodyError::NoMemory);
+                    }
+                    // The closed connection frees its memory in a task of its own.
+                    tokio::task::yield_now().await;
+                }
+                read.counted += next - capacity;
+                read.buffer.reserve_exact(next - read.buffer.len());
             }
-            read.extend_from_slice(&data);
+            read.buffer.extend_from_slice(&data);
         }
-        Ok(read.freeze())
+        Ok(Bytes::from_owner(read))
     }
 }
--- a/agaterouted/src/body_memory.rs
+++ b/agaterouted/src/body_memory.rs
@@ -21,9 +21,9 @@
 const MEMORY_DIVISOR: usize = 4;
 /// A body up to this length may use the whole bound, and a longer one all but a quarter of it, so that a few callers with
 /// long bodies do not keep others out.
-const SMALL_BYTES: usize = 64 * 1024;
+pub const SMALL_BYTES: usize = 64 * 1024;
 /// The part of the bound that is kept for small bodies, as a divisor.
-const RESERVE_DIVISOR: usize = 4;
+pub const RESERVE_DIVISOR: usize = 4;
 /// A request that did not bring [`PROGRESS_BYTES`] more in this time gives way to others if the bound is reached.
 const STALL_TIME: Duration = Duration::from_secs(1);
 /// The bytes that count as progress. With fewer, a caller could hold its place with a byte now and then.
@@ -131,16 +131,13 @@
         self.lock().bound = memory / MEMORY_DIVISOR;
     }
 
-    /// Returns the number of requests that are being read, and the bytes that are counted for these and for bodies that
-    /// are held.
-    pub fn usage(&self) -> (usize, usize) {
-        let state = self.lock();
-        (state.readers.len(), state.used)
-    }
-
     /// Begins to read a request.
     pub fn open(self: &Arc<Self>) -> BodyReader {
-        let gave_way = CancellationToken::new();
+        self.open_with(CancellationToken::new())
+    }
+
+    /// Begins to read a request. `gave_way` is cancelled when it has to give way to others.
+    pub fn open_with(self: &Arc<Self>, gave_way: CancellationToken) -> BodyReader {
         let mut state = self.lock();
         let id = state.next;
         state.next += 1;
@@ -191,6 +188,12 @@
     }
 }
 
+/// Returns the next capacity of a buffer that has to hold `length` bytes and is expected to hold `most`. Doubling bounds
+/// the number of copies.
+pub fn next_capacity(capacity: usize, length: usize, most: usize) -> usize {
+    (capacity * 2).max(MIN_CAPACITY).min(most).max(length)
+}
+
 impl State {
     /// Counts more bytes for a request that then has `total` of them. Others give way if they must.
     fn count(&mut self, id: u64, more: usize, total: usize) -> Result<(), ReadError> {
@@ -265,8 +268,7 @@
             return Err(ReadError::TooLong { max_bytes });
         }
         if length > capacity {
-            // Doubling bounds the number of copies.
-            let next = (capacity * 2).max(MIN_CAPACITY).min(most).max(length);
+            let next = next_capacity(capacity, length, most);
             state.count(self.id, next - capacity, next)?;
             if let Some(reader) = state.readers.get_mut(&self.id) {
                 let missing = next - reader.buffer.len();
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -18,6 +18,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_body::AnswerMemory;
+use crate::body_memory::BodyMemory;
+use crate::connections::Connections;
 use crate::daemon::{Daemon, millis};
 use crate::run::{StartError, at_step};
 use crate::source::Source;
@@ -56,8 +58,12 @@
     pub source: Source,
     /// Connections to backend servers, with a pool of idle ones.
     pub upstream: Upstream,
-    /// The memory for answers that are being read.
-    pub answer_memory: AnswerMemory,
+    /// The memory for requests that are being read or held.
+    pub body_memory: Arc<BodyMemory>,
+    /// The memory for answers that are being read or sent.
+    pub answer_memory: Arc<AnswerMemory>,
+    /// The open connections of callers.
+    pub connections: Arc<Connections>,
     /// Wakes the task that writes the row of this instance, so that it is written at once.
     pub announce_notify: Notify,
     /// The requests of callers whose head has arrived and whose answer is not complete in this process.
@@ -118,6 +124,13 @@
         *self.bounds.read().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn set_bounds(&self, bounds: Bounds) {
+        self.body_memory.resize(bounds.memory);
+        self.answer_memory.resize(bounds.memory);
+        self.connections.resize(bounds.memory, bounds.descriptors);
+        *self.bounds.write().unwrap_or_else(PoisonError::into_inner) = bounds;
+    }
+
     /// Whether the document was read recently enough to trust its keys: an older one may still hold
     /// a withdrawn key.
     pub fn document_is_fresh(&self) -> bool {
@@ -166,11 +179,15 @@
     };
     let daemon = Arc::new(Daemon::new(settings, telemetry, jobs).with_table(table));
     let cancel = CancellationToken::new();
+    let limits = deployment.bounds;
+    let connections = Connections::new(limits.memory, limits.descriptors);
     let instance = Arc::new(RouteInstance {
         daemon: daemon.clone(),
         source: Source::new(client, &deployment),
         upstream: Upstream::default(),
-        answer_memory: AnswerMemory::default(),
+        body_memory: BodyMemory::new(limits.memory),
+        answer_memory: AnswerMemory::new(limits.memory, connections.clone()),
+        connections,
         announce_notify: Notify::new(),
         busy_requests: AtomicI64::new(0),
         unsent_answers: AtomicI64::new(0),
@@ -178,7 +195,7 @@
         stopping: cancel.child_token(),
         giving_up: cancel.child_token(),
         ending: cancel.child_token(),
-        bounds: RwLock::new(deployment.bounds),
+        bounds: RwLock::new(limits),
         stop_times: OnceLock::new(),
         deployment,
     });
@@ -319,7 +336,7 @@
         if current != read {
             spdlog::info!("settings_reloaded", kv: { table: = read.0.as_str() });
             instance.source.set_address(&read.0);
-            *instance.bounds.write().unwrap_or_else(PoisonError::into_inner) = read.1;
+            instance.set_bounds(read.1);
             declared::rebuild_config(&instance);
         }
         last_read = Some(read);
--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -16,14 +16,16 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::body_memory::{BodyReader, ReadError};
+use crate::connections::{Connection, RECEIVE_BYTES, Waits};
 use crate::daemon::millis;
 use crate::route_instance::RouteInstance;
 use crate::serve;
@@ -51,6 +53,10 @@
 
 /// Accepts connections of callers and serves each in its own task, until the instance is draining.
 pub async fn run(instance: Arc<RouteInstance>, listener: TcpListener) {
+    // Connections inherit it.
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BYTES) {
+        spdlog::warn!("receive_buffer_not_set", kv: { error: });
+    }
     loop {
         let accepted = tokio::select! {
             () = instance.draining.cancelled() => return,
@@ -58,7 +64,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(handle_connection(instance.clone(), stream));
+                let opened = instance.connections.open(|| instance.body_memory.end_stalled());
+                let Some((connection, full)) = opened else { continue };
+                tokio::spawn(handle_connection(instance.clone(), stream, connection));
+                if full {
+                    // The connection that gave way frees its descriptor in a task of its own.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(error) => {
                 spdlog::warn!("connection_not_accepted", kv: { error: });
@@ -85,10 +97,13 @@
 #[derive(Debug)]
 struct ConnectionActivity {
     instance: Arc<RouteInstance>,
+    connection: Connection,
     /// The state, and when the connection was last written to or became idle.
     state: Mutex<(ConnectionState, Instant)>,
     /// Whether an answer is under way whose end only the end of this connection marks.
     ends_answer: AtomicBool,
+    /// Counts the bytes of a head that is not complete.
+    head: Mutex<Option<BodyReader>>,
     /// The id of the last request, and why the connection ended, for the log.
     last: Mutex<(Option<HeaderValue>, Option<String>)>,
 }
@@ -106,16 +121,22 @@
 }
 
 impl ConnectionActivity {
-    fn new(instance: Arc<RouteInstance>) -> ConnectionActivity {
+    fn new(instance: Arc<RouteInstance>, connection: Connection) -> ConnectionActivity {
         instance.daemon.telemetry.connections.add(1, &[]);
         ConnectionActivity {
             instance,
+            connection,
             state: Mutex::new((ConnectionState::Idle(None), Instant::now())),
             ends_answer: AtomicBool::new(false),
+            head: Mutex::default(),
             last: Mutex::default(),
         }
     }
 
+    fn head(&self) -> MutexGuard<'_, Option<BodyReader>> {
+        self.head.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn last(&self) -> MutexGuard<'_, (Option<HeaderValue>, Option<String>)> {
         self.last.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -135,6 +156,8 @@
             self.instance.unsent_answers.fetch_add(1, Ordering::AcqRel);
         }
         state.0 = ConnectionState::Busy;
+        self.head().take();
+        self.connection.set_waits(Waits::Process);
     }
 
     fn answer_began(&self) {
@@ -143,17 +166,24 @@
 
     fn request_ended(&self) {
         *self.lock() = (ConnectionState::Sending, Instant::now());
+        self.connection.set_waits(Waits::Caller);
     }
 
-    fn bytes_read(&self) {
+    /// Records that bytes were read, which count until the head of a request is complete.
+    fn bytes_read(&self, bytes: usize) -> Result<(), ReadError> {
         let mut state = self.lock();
-        if state.0 == ConnectionState::Idle(None) {
-            state.0 = ConnectionState::Idle(Some(Instant::now()));
-        }
+        let ConnectionState::Idle(since) = state.0 else { return Ok(()) };
+        state.0 = ConnectionState::Idle(since.or(Some(Instant::now())));
+        let open = || self.instance.body_memory.open_with(self.connection.close.clone());
+        self.head().get_or_insert_with(open).count(bytes)
     }
 
     fn bytes_written(&self) {
-        self.lock().1 = Instant::now();
+        let mut state = self.lock();
+        state.1 = Instant::now();
+        if state.0 == ConnectionState::Sending {
+            self.connection.set_waits(Waits::Caller);
+        }
     }
 
     /// Records that all bytes were written which are ready to be written.
@@ -161,6 +191,7 @@
         let mut state = self.lock();
         if state.0 == ConnectionState::Sending {
             *state = (ConnectionState::Idle(None), Instant::now());
+            self.connection.set_waits(Waits::Request);
             self.instance.unsent_answers.fetch_sub(1, Ordering::AcqRel);
         }
     }
@@ -197,12 +228,17 @@
     }
 }
 
-async fn handle_connection(instance: Arc<RouteInstance>, stream: TcpStream) {
+async fn handle_connection(
+    instance: Arc<RouteInstance>,
+    stream: TcpStream,
+    connection: Connection,
+) {
+    let close = connection.close.clone();
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("nodelay_not_set", kv: { error: });
     }
-    let activity = Arc::new(ConnectionActivity::new(instance.clone()));
-    let io = TrackedIo { io: TokioIo::new(stream), activity: activity.clone(), resets: false };
+    let activity = Arc::new(ConnectionActivity::new(instance.clone(), connection));
+    let io = TrackedIo { stream, activity: activity.clone(), resets: false };
     let limits = instance.daemon.config().document.limits.clone();
     let max_head_bytes =
         (limits.header_bytes as usize * 2).clamp(MIN_HEAD_BUFFER_BYTES, MAX_HEAD_BUFFER_BYTES);
@@ -215,7 +251,7 @@
         .header_read_timeout(None)
         .max_buf_size(max_head_bytes)
         .max_headers(MAX_HEADERS)
-        .serve_connection(io, service_fn(handler));
+        .serve_connection(TokioIo::new(io), service_fn(handler));
     let mut served = std::pin::pin!(served);
     let mut draining = false;
     loop {
@@ -224,6 +260,10 @@
                 draining = true;
                 served.as_mut().graceful_shutdown();
             }
+            () = close.cancelled() => {
+                activity.ended("gave_way");
+                return;
+            }
             ended = served.as_mut() => {
                 match ended {
                     Ok(()) => activity.ended("closed"),
@@ -307,7 +347,7 @@
 
 /// Records when request bytes arrive on a connection, and when bytes of its answer are written.
 struct TrackedIo {
-    io: TokioIo<TcpStream>,
+    stream: TcpStream,
     activity: Arc<ConnectionActivity>,
     /// Whether closing the socket resets the connection.
     resets: bool,
@@ -323,7 +363,7 @@
         }
         self.resets = resets;
         let linger = resets.then_some(Duration::ZERO);
-        if let Err(error) = SockRef::from(self.io.inner()).set_linger(linger) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(linger) {
             spdlog::warn!("linger_not_set", kv: { resets, error: });
         }
     }
@@ -335,35 +375,37 @@
     }
 }
 
-impl Read for TrackedIo {
+impl AsyncRead for TrackedIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if matches!(read, Poll::Ready(Ok(()))) {
-            self.activity.bytes_read();
+            let bytes = buf.filled().len() - before;
+            self.activity.bytes_read(bytes).map_err(std::io::Error::other)?;
         }
         read
     }
 }
 
-impl Write for TrackedIo {
+impl AsyncWrite for TrackedIo {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         self.update_linger();
-        let written = Pin::new(&mut self.io).poll_write(cx, buf);
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record_written(&written);
         written
     }
 
     /// The HTTP library calls this once it has written all bytes that are ready.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        let flushed = Pin::new(&mut self.io).poll_flush(cx);
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
         if matches!(flushed, Poll::Ready(Ok(()))) {
             self.activity.flushed();
         }
@@ -372,11 +414,11 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         self.update_linger();
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+        self.stream.is_write_vectored()
     }
 
     fn poll_write_vectored(
@@ -385,7 +427,7 @@
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         self.update_linger();
-        let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record_written(&written);
         written
     }
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -13,7 +13,7 @@
 use agateroute_core::id::Id;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 use opentelemetry::trace::SpanKind;
@@ -51,6 +51,9 @@
 /// The organisation of callers without a key in logs, metrics and fairness.
 const PUBLIC_ORGANISATION: &str = "public";
 
+/// The codes of answers to requests whose body was not read to its end, so that their connections can not go on.
+const UNREAD_CODES: [&str; 4] = ["body_too_large", "body_memory", "body_stalled", "body_timeout"];
+
 /// A request of a caller on a route, with its whole body.
 #[derive(Debug)]
 pub struct RouteCall {
@@ -99,11 +102,13 @@
     let id = (instance.deployment.callers.decode)(&head.headers).id;
     let id: Arc<str> = id.unwrap_or("-").into();
     let answer = serve(&instance, head, body, &id, arrived).await;
+    let mut unread = false;
     let mut response = answer.unwrap_or_else(|e| {
         log_refusal(&instance, &e, &id, arrived);
+        unread = UNREAD_CODES.contains(&e.code);
         error_response(&instance, &e, &id)
     });
-    if instance.daemon.leaving() {
+    if unread || instance.daemon.leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -319,23 +324,18 @@
         arriving.add(frame.data_ref().map_or(0, Bytes::len));
         frame
     });
-    let limited = Limited::new(body, max_bytes as usize);
-    let read = match tokio::time::timeout(time, limited.collect()).await {
-        Ok(Ok(collected)) => return Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => ApiError::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-            format!("the body is longer than {max_bytes} bytes"),
-        ),
-        Ok(Err(e)) => ApiError::bad_request(format!("body not readable: {e}")),
+    let read = instance.body_memory.read(body, max_bytes as usize);
+    let error = match tokio::time::timeout(time, read).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(error)) => ApiError::from(error),
         Err(_) => ApiError::not_run(
             StatusCode::REQUEST_TIMEOUT,
             "body_timeout",
             format!("the body did not arrive within {} ms", time.as_millis()),
         ),
     };
-    telemetry.refused_bodies.add(1, &[KeyValue::new("cause", read.code)]);
-    Err(read)
+    telemetry.refused_bodies.add(1, &[KeyValue::new("cause", error.code)]);
+    Err(error)
 }
 
 /// A body that is being read, for the metrics.
--- a/agaterouted/tests/crowds.rs
+++ b/agaterouted/tests/crowds.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use agateroute_standin as standin;
+use agaterouted::body_memory::{BodyMemory, ReadError};
 use agatestand::instance::{Instance, eventually};
 use http::StatusCode;
 use platform_fixture::{TestPlatform, start_platform};
@@ -179,6 +180,59 @@
     small.holds_once_read("/order/").await;
 }
 
+// Guards against refusals that a caller can not take for a promise that nothing has run.
+#[tokio::test]
+async fn refused_bodies_can_be_sent_again() {
+    let mut small = start_small().await;
+    let body = vec![b'x'; BODY_BYTES - 1];
+    let open = small.crowd(CALLERS, &sized("/order/", BODY_BYTES), &[(&body, 1)]).await;
+    small.holds_once_read("/order/").await;
+    let mut refused = 0;
+    for stream in &open {
+        let mut answer = [0; 512];
+        let Ok(length) = stream.try_read(&mut answer) else { continue };
+        let answer = String::from_utf8_lossy(&answer[..length]).to_ascii_lowercase();
+        if length == 0 {
+            continue;
+        }
+        let status = answer.split(' ').nth(1).unwrap_or_default();
+        assert!(["408", "503"].contains(&status), "{answer}");
+        assert!(answer.contains("\r\nretry-after: "), "{answer}");
+        assert!(answer.contains("\r\nconnection: close\r\n"), "{answer}");
+        refused += 1;
+    }
+    assert!(refused > 0, "no caller was told to come again");
+    // Those that stopped give way to a caller who goes on.
+    eventually("a long body is served", async || small.call("/order/", BODY_BYTES).await).await;
+    assert!(small.instance.logged("code=body_stalled"));
+    assert!(small.platform.plain[0].runs().iter().all(|run| run.id != "crowd"));
+}
+
+// Guards against bodies that are not counted, or counted for too long.
+#[test]
+fn bodies_count_until_dropped() {
+    const MAX_BYTES: usize = 1 << 20;
+    let memory = BodyMemory::new(4 << 20);
+    let push = |length: usize| {
+        let reader = memory.open();
+        reader.push(&vec![b'x'; length], length, MAX_BYTES).map(|()| reader)
+    };
+    let first = push(512 << 10).expect("room");
+    let full = |length| push(length).expect_err("no room") == ReadError::NoMemory;
+    assert!(full(300 << 10), "long bodies leave a part to others");
+    let short = push(64 << 10).expect("room for a short body");
+    let body = first.finish().expect("the body");
+    let copy = body.clone();
+    drop(body);
+    assert!(full(300 << 10), "a copy of the body is still held");
+    drop(copy);
+    let second = push(300 << 10).expect("room");
+    drop((second, short));
+    let alone = push(MAX_BYTES).expect("a body that is alone");
+    let over = alone.push(b"x", usize::MAX, MAX_BYTES);
+    assert_eq!(over, Err(ReadError::TooLong { max_bytes: MAX_BYTES }));
+}
+
 // Guards against memory for whole bodies whose servers do not answer.
 #[tokio::test]
 async fn crowd_of_whole_bodies() {
