Wait in tests of crowds until callers have sent what they can

With small receive buffers most bytes wait on the callers' side, so an empty receive buffer did not show that the process had read them.

--- a/agaterouted/tests/crowds.rs
+++ b/agaterouted/tests/crowds.rs
@@ -84,25 +84,33 @@
         std::fs::read_dir(own.path().join("fd")).expect("its descriptors").count() as u64
     }
 
-    /// Returns the bytes that wait in the receive buffers of the connections of callers.
-    fn unread(&self) -> u64 {
+    /// Returns the bytes that wait in the receive buffers of the connections of callers, and those that callers could not
+    /// send yet.
+    fn unread(&self) -> (u64, u64) {
         let port = self.instance.listen.rsplit(':').next().and_then(|p| p.parse::<u16>().ok());
-        let local = format!(":{:04X}", port.expect("a port"));
+        let port = format!(":{:04X}", port.expect("a port"));
         let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the sockets");
-        let queue = |line: &str| {
-            let mut fields = line.split_whitespace().skip(1);
-            let is_own = fields.next()?.ends_with(&local) && fields.nth(1)? != "0A";
-            let queue = u64::from_str_radix(fields.next()?.split(':').nth(1)?, 16).ok()?;
-            is_own.then_some(queue)
-        };
-        sockets.lines().filter_map(queue).sum()
+        let (mut unread, mut unsent) = (0, 0);
+        for line in sockets.lines() {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let [_, local, remote, state, queues, ..] = fields[..] else { continue };
+            let Some((sending, received)) = queues.split_once(':') else { continue };
+            let bytes = |text: &str| u64::from_str_radix(text, 16).unwrap_or(0);
+            // The queue of a listening socket counts connections.
+            if local.ends_with(&port) && state != "0A" {
+                unread += bytes(received);
+            } else if remote.ends_with(&port) {
+                unsent += bytes(sending);
+            }
+        }
+        (unread, unsent)
     }
 
     /// Checks that the process reads what callers have sent.
     async fn holds_once_read(&mut self, path: &str) {
         loop {
             let before = self.unread();
-            if before == 0 {
+            if before == (0, 0) {
                 break;
             }
             eventually("more is read or refused", async || self.unread() != before).await;
@@ -116,7 +124,7 @@
         eventually("an ordinary request is served", served).await;
         assert_eq!(self.instance.exit_success(), None, "the process has ended");
         let (peak, open) = (self.instance.peak_memory_mib(), self.descriptors());
-        let unread = self.unread();
+        let (unread, _) = self.unread();
         println!("peak {peak} MiB, {open} descriptors, {unread} bytes unread");
         let memory = peak * 1_048_576 + unread;
         assert!(memory < MEMORY_MB * 1_000_000, "{peak} MiB at the peak, {unread} bytes unread");
