--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -14,8 +14,9 @@
 use agateroute_core::id::Id;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use opentelemetry::KeyValue;
 use opentelemetry::trace::SpanKind;
 use tokio::time::Instant;
 
@@ -32,7 +33,7 @@
 use crate::route_listener::BoxBody;
 use crate::stopping::{refuse_unfinishable, refused_at_stop, stopping, wait_over};
 use crate::stream_relay::{self, StreamRequest};
-use crate::telemetry::extract;
+use crate::telemetry::{Telemetry, extract};
 
 /// The final answer is sent this long before the caller stops waiting.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
@@ -51,6 +52,9 @@
 /// The organisation of callers without a key in logs, metrics and fairness.
 const PUBLIC_ORGANISATION: &str = "public";
 
+/// The codes of answers to requests whose body was not read to its end, so that their connections can not go on.
+const UNREAD_CODES: [&str; 4] = ["body_too_large", "body_memory", "body_stalled", "body_timeout"];
+
 /// A request of a caller on a route, with its whole body.
 #[derive(Debug)]
 pub struct RouteCall {
@@ -99,11 +103,13 @@
     let id = (instance.deployment.callers.decode)(&head.headers).id;
     let id: Arc<str> = id.unwrap_or("-").into();
     let answer = serve(&instance, head, body, &id, arrived).await;
+    let mut unread = false;
     let mut response = answer.unwrap_or_else(|e| {
         log_refusal(&instance, &e, &id, arrived);
+        unread = UNREAD_CODES.contains(&e.code);
         error_response(&instance, &e, &id)
     });
-    if instance.daemon.leaving() {
+    if unread || instance.daemon.leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -147,7 +153,7 @@
 ) -> Result<Response<BoxBody>, ApiError> {
     let config = instance.daemon.config();
     let (route, organisation) = check(instance, &config, (&head, id), arrived)?;
-    let mut read = pin!(read_body(body, &config, millis(route.timeout_ms)));
+    let mut read = pin!(read_body(instance, body, &config, millis(route.timeout_ms)));
     // The order to stop may come while the body arrives.
     let body = tokio::select! {
         biased;
@@ -309,22 +315,52 @@
     error
 }
 
-async fn read_body(body: Incoming, config: &Config, time: Duration) -> Result<Bytes, ApiError> {
+/// Reads the body of a request. Metrics say how much is being read, and why bodies are not read to their end.
+async fn read_body(
+    instance: &RouteInstance,
+    body: Incoming,
+    config: &Config,
+    time: Duration,
+) -> Result<Bytes, ApiError> {
+    let telemetry = &instance.daemon.telemetry;
     let max_bytes = config.document.limits.body_bytes;
-    let limited = Limited::new(body, max_bytes as usize);
-    match tokio::time::timeout(time, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ApiError::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-            format!("the body is longer than {max_bytes} bytes"),
-        )),
-        Ok(Err(e)) => Err(ApiError::bad_request(format!("body not readable: {e}"))),
-        Err(_) => Err(ApiError::not_run(
+    let mut arriving = Arriving { telemetry, bytes: 0 };
+    telemetry.bodies.add(1, &[]);
+    let body = body.map_frame(|frame| {
+        arriving.add(frame.data_ref().map_or(0, Bytes::len));
+        frame
+    });
+    let read = instance.body_memory.read(body, max_bytes as usize);
+    let error = match tokio::time::timeout(time, read).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(error)) => ApiError::from(error),
+        Err(_) => ApiError::not_run(
             StatusCode::REQUEST_TIMEOUT,
             "body_timeout",
             format!("the body did not arrive within {} ms", time.as_millis()),
-        )),
+        ),
+    };
+    telemetry.refused_bodies.add(1, &[KeyValue::new("cause", error.code)]);
+    Err(error)
+}
+
+/// A body that is being read, for the metrics.
+struct Arriving<'a> {
+    telemetry: &'a Telemetry,
+    bytes: i64,
+}
+
+impl Arriving<'_> {
+    fn add(&mut self, bytes: usize) {
+        self.bytes += bytes as i64;
+        self.telemetry.body_bytes.add(bytes as i64, &[]);
+    }
+}
+
+impl Drop for Arriving<'_> {
+    fn drop(&mut self) {
+        self.telemetry.bodies.add(-1, &[]);
+        self.telemetry.body_bytes.add(-self.bytes, &[]);
     }
 }
 
