--- a/agateroute_core/src/leaving.rs
+++ b/agateroute_core/src/leaving.rs
@@ -35,9 +35,8 @@
 /// Returns the latest time after the order to stop at which a request may start; `None` if it may not start at all.
 ///
 /// Its answer is due by `due_ms`, its caller's deadline or the timeout of its route, and the instance serves until
-/// `serving_ms`. A request that is due later is not accepted: no estimate of its length bounds what a server takes. Only a
-/// call that may be repeated is, since it gets an answer in any case and loses nothing by it. Of the others, those are
-/// accepted that are likely to be answered in time. All times are in milliseconds after the
+/// `serving_ms`. A request that is due later is never accepted: no estimate of its length bounds what a server takes. Of
+/// the others, those are accepted that are likely to be answered in time. All times are in milliseconds after the
 /// order to stop. `max_tokens` limits the output and `hint` is the caller's estimate of its length in tokens, 0 if there
 /// is none.
 pub fn latest_start_ms(
@@ -46,7 +45,7 @@
     max_tokens: u32,
     hint: u32,
 ) -> Option<Millis> {
-    if due_ms > serving_ms && kind != RouteKind::Repeatable {
+    if due_ms > serving_ms {
         return None;
     }
     if !kind.streams() {
--- a/agateroute_core/tests/stopping.rs
+++ b/agateroute_core/tests/stopping.rs
@@ -26,8 +26,7 @@
             let (serving, due) = (u64::from(*serving), u64::from(*due));
             let (kind, stopping) = (KINDS[kind % KINDS.len()], u64::from(*stopping));
             if leaving::can_finish((serving, due), stopping, kind, *most, *hint) {
-                assert!(due <= serving || kind == RouteKind::Repeatable);
-                assert!(stopping <= serving);
+                assert!(due <= serving && stopping <= serving);
             }
         },
     );
@@ -39,9 +38,7 @@
     assert!(!leaving::can_finish((7_400, 7_401), 1_000, RouteKind::ResumableStream, 40, 12));
     assert!(leaving::can_finish((7_400, 7_400), 5_400, RouteKind::Once, 0, 0));
     assert!(!leaving::can_finish((7_400, 8_400), 5_400, RouteKind::Once, 0, 0));
-    // It may run again elsewhere, and gets an answer before the end.
-    assert!(leaving::can_finish((7_400, 8_400), 5_400, RouteKind::Repeatable, 0, 0));
-    assert!(!leaving::can_finish((7_400, 8_400), 6_800, RouteKind::Repeatable, 0, 0));
+    assert!(!leaving::can_finish((7_400, 8_400), 5_400, RouteKind::Repeatable, 0, 0));
 }
 
 #[test]
