Move the pages of platform mode to a module of their own

The readiness and metrics pages share nothing with the listener for routes but the crate that parses HTTP. A pure move, so that limits on them can change apart from that listener's.

--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod log;
 pub mod memory_copy;
 pub mod ops;
+pub mod pages;
 pub mod peers;
 pub mod permit;
 pub mod plain;
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -24,8 +24,8 @@
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
 use crate::{
-    declared, discovery, instances, jobs, log, peers, poll, restore, route_listener as listener,
-    supervisor, versions,
+    declared, discovery, instances, jobs, log, pages, peers, poll, restore,
+    route_listener as listener, supervisor, versions,
 };
 
 /// The time limit of a write to the table service or a short read from it.
@@ -185,8 +185,8 @@
     tokio::spawn(jobs::run(daemon.clone(), job_queue, cancel.child_token()));
     tokio::spawn(listener::run(instance.clone(), callers));
     tokio::spawn(serve_peers(instance.clone(), peer, cancel.clone()));
-    tokio::spawn(listener::serve_pages(instance.clone(), ready, ready_page, cancel.child_token()));
-    tokio::spawn(listener::serve_pages(instance.clone(), ops, ops_page, cancel.child_token()));
+    tokio::spawn(pages::serve(instance.clone(), ready, ready_page, cancel.child_token()));
+    tokio::spawn(pages::serve(instance.clone(), ops, ops_page, cancel.child_token()));
     spawn_loops(&instance, &cancel);
     spdlog::info!("started", kv: {
         instance: = daemon.identity.name.as_str(),
@@ -267,18 +267,18 @@
 
 fn ready_page(instance: &RouteInstance, path: &str) -> Response<Full<bytes::Bytes>> {
     if path != instance.deployment.listeners.ready_path {
-        return listener::page(StatusCode::NOT_FOUND, "this path does not exist\n");
+        return pages::page(StatusCode::NOT_FOUND, "this path does not exist\n");
     }
     match instance.ready() {
-        true => listener::page(StatusCode::OK, "ready\n"),
-        false => listener::page(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        true => pages::page(StatusCode::OK, "ready\n"),
+        false => pages::page(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
 }
 
 fn ops_page(instance: &RouteInstance, path: &str) -> Response<Full<bytes::Bytes>> {
     match path {
-        "/metrics" => listener::page(StatusCode::OK, instance.daemon.telemetry.metrics_page()),
-        _ => listener::page(StatusCode::NOT_FOUND, "this path does not exist\n"),
+        "/metrics" => pages::page(StatusCode::OK, instance.daemon.telemetry.metrics_page()),
+        _ => pages::page(StatusCode::NOT_FOUND, "this path does not exist\n"),
     }
 }
 
--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, Version};
+use http::{HeaderValue, Request, Response, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -22,7 +22,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
 
 use crate::daemon::millis;
 use crate::route_instance::RouteInstance;
@@ -388,45 +387,3 @@
         written
     }
 }
-
-/// Serves short text pages by path, such as the readiness check and the metrics, until cancelled.
-pub async fn serve_pages(
-    instance: Arc<RouteInstance>,
-    listener: TcpListener,
-    page: fn(&RouteInstance, &str) -> Response<Full<Bytes>>,
-    cancel: CancellationToken,
-) {
-    loop {
-        let accepted = tokio::select! {
-            () = cancel.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-            continue;
-        };
-        let instance = instance.clone();
-        tokio::spawn(async move {
-            let handler = service_fn(move |request: Request<Incoming>| {
-                let response = page(&instance, request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(PAGE_IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), handler);
-            if let Err(error) = served.await {
-                spdlog::debug!("page_connection_ended", kv: { error: });
-            }
-        });
-    }
-}
-
-const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Builds a response with a short text.
-pub fn page(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(text.into()));
-    *response.status_mut() = status;
-    response
-}
