Try another peer if a peer does not know forward

While machines are replaced, an instance without servers may hand a request to a peer of a build before, which has no forward method and answers unimplemented. That was taken for a lost answer: callers of requests that may run only once got 502 with outcome=unknown, although nothing had run, and repeatable requests spent their retry allowance.

The status unimplemented comes from the peer's gRPC server before any handler runs, or from an instance without routes, so the request has not run there and another peer may get it.

The test links a gRPC server without methods to an instance that is cut from its servers, beside a real peer. Before: 502 answer_lost.

--- a/agaterouted/src/forward.rs
+++ b/agaterouted/src/forward.rs
@@ -123,6 +123,8 @@
         Err(status) if status.code() == tonic::Code::Unavailable && !reached(&status) => {
             return Outcome::NotRun;
         }
+        // A peer of an older build does not know the method, and one without routes serves none.
+        Err(status) if status.code() == tonic::Code::Unimplemented => return Outcome::NotRun,
         Err(_) => return Outcome::Lost,
     };
     let Ok(Some(ForwardPart { part: Some(Part::Head(head)) })) = parts.message().await else {
