--- a/agateroute_config/src/settings.rs
+++ b/agateroute_config/src/settings.rs
@@ -36,6 +36,14 @@
         #[serde(default = "idle_time")]
         #[schemars(range(min = 100))]
         pub idle_ms: u64,
+        /// The memory that the process may use, in MB. Request bodies use at most a quarter of it.
+        #[serde(default = "memory")]
+        #[schemars(range(min = 64))]
+        pub memory_mb: u64,
+        /// The maximum number of connections of callers at once. Others wait until one is closed.
+        #[serde(default = "connections")]
+        #[schemars(range(min = 16))]
+        pub connections: u32,
         /// The settings of logs, metrics and traces.
         #[serde(default)]
         pub telemetry: Telemetry,
@@ -76,6 +84,19 @@
     }
 }
 
+/// The default of `memory_mb`.
+pub const DEFAULT_MEMORY_MB: u64 = 2_048;
+/// The default of `connections`.
+pub const DEFAULT_CONNECTIONS: u32 = 8_192;
+
+fn memory() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
+fn connections() -> u32 {
+    DEFAULT_CONNECTIONS
+}
+
 fn workers() -> u32 {
     4
 }
--- a/agaterouted/tests/harness/mod.rs
+++ b/agaterouted/tests/harness/mod.rs
@@ -45,6 +45,8 @@
     pub document: Value,
     /// The telemetry section of each daemon's settings.
     pub telemetry: Value,
+    /// More settings of each daemon, which replace those of the harness.
+    pub settings: Value,
     pub daemons: Vec<Daemon>,
     pub cancel: CancellationToken,
     directory: PathBuf,
@@ -102,6 +104,7 @@
             platform_proxy: platform_proxy.expect("a proxy"),
             document: json!({}),
             telemetry: json!({}),
+            settings: json!({}),
             daemons: Vec::new(),
             cancel,
             directory,
@@ -222,6 +225,9 @@
             settings["platform"] = json!({"table": address, "objects": address,
                 "instances": address, "timeout_ms": 1_000, "poll_ms": 200});
         }
+        for (name, value) in self.settings.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
+        }
         let path = self.directory.join(format!("{name}.yaml"));
         std::fs::write(&path, settings.to_string()).expect("the settings are written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_agaterouted"))
