Refuse a body unread that is announced as too long

The stand-alone front read such a body up to the limit, or for the whole time for a body if nothing came, and then answered 413 or 408. Its announced length is now compared with the limit first.

front_announced_over_the_limit: 408 before, 413 now.

--- a/agaterouted/src/body.rs
+++ b/agaterouted/src/body.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
-use xitca_web::body::{BodyExt, RequestBody};
+use xitca_web::body::{Body, BodyExt, RequestBody, SizeHint};
 
 use crate::error::ApiError;
 
@@ -25,15 +25,16 @@
 }
 
 async fn collect_body(body: &mut RequestBody, max_bytes: usize) -> Result<Bytes, ApiError> {
+    if let SizeHint::Exact(announced) = body.size_hint()
+        && announced > max_bytes as u64
+    {
+        return Err(too_large(max_bytes));
+    }
     let mut collected = BytesMut::new();
     while let Some(data) = body.data().await {
         let data = data.map_err(|e| ApiError::bad_request(format!("body not readable: {e}")))?;
         if collected.len() + data.len() > max_bytes {
-            return Err(ApiError::not_run(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                format!("the body is longer than {max_bytes} bytes"),
-            ));
+            return Err(too_large(max_bytes));
         }
         if collected.is_empty() && is_complete(body) {
             return Ok(data);
@@ -43,6 +44,14 @@
     Ok(collected.freeze())
 }
 
+fn too_large(max_bytes: usize) -> ApiError {
+    ApiError::not_run(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "body_too_large",
+        format!("the body is longer than {max_bytes} bytes"),
+    )
+}
+
 fn is_complete(body: &RequestBody) -> bool {
-    xitca_web::body::Body::is_end_stream(body)
+    Body::is_end_stream(body)
 }
