Bound the memory for bodies of callers at the stand-alone front

Each body was bounded, all of them together were not: 90 callers that stop one byte before the end of 1 MiB took 119 MiB where memory_mb names 96, and so did whole bodies of calls that wait for a server. Bodies are now read through BodyMemory, which uses a quarter of memory_mb and counts a body until its last copy is dropped. At the bound the body longest without progress gives way (408 body_stalled, not run), or the new one is refused (503 body_memory, not run).

--- a/agaterouted/src/body.rs
+++ b/agaterouted/src/body.rs
@@ -1,21 +1,25 @@
-//! Reads request bodies of callers, limited in size and time.
+//! Reads request bodies of callers, limited in size, time and memory over all of them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::StatusCode;
 use xitca_web::body::{Body, BodyExt, RequestBody, SizeHint};
 
+use crate::body_memory::{BodyMemory, ReadError};
 use crate::error::ApiError;
 
-/// Reads a whole body of at most `max_bytes` that must arrive within `timeout`.
+/// Reads a whole body of at most `max_bytes` that must arrive within `timeout`. Its memory counts until the last copy of
+/// the returned bytes is dropped.
 pub async fn read_body(
     mut body: RequestBody,
     max_bytes: u64,
     timeout: Duration,
+    memory: &Arc<BodyMemory>,
 ) -> Result<Bytes, ApiError> {
-    match tokio::time::timeout(timeout, collect_body(&mut body, max_bytes as usize)).await {
-        Ok(result) => result,
+    match tokio::time::timeout(timeout, collect_body(&mut body, max_bytes as usize, memory)).await {
+        Ok(result) => result.map_err(ApiError::from),
         Err(_) => Err(ApiError::not_run(
             StatusCode::REQUEST_TIMEOUT,
             "body_timeout",
@@ -24,34 +28,28 @@
     }
 }
 
-async fn collect_body(body: &mut RequestBody, max_bytes: usize) -> Result<Bytes, ApiError> {
-    if let SizeHint::Exact(announced) = body.size_hint()
-        && announced > max_bytes as u64
-    {
-        return Err(too_large(max_bytes));
-    }
-    let mut collected = BytesMut::new();
-    while let Some(data) = body.data().await {
-        let data = data.map_err(|e| ApiError::bad_request(format!("body not readable: {e}")))?;
-        if collected.len() + data.len() > max_bytes {
-            return Err(too_large(max_bytes));
-        }
-        if collected.is_empty() && is_complete(body) {
-            return Ok(data);
+async fn collect_body(
+    body: &mut RequestBody,
+    max_bytes: usize,
+    memory: &Arc<BodyMemory>,
+) -> Result<Bytes, ReadError> {
+    let most = match body.size_hint() {
+        SizeHint::Exact(announced) if announced > max_bytes as u64 => {
+            return Err(ReadError::TooLong { max_bytes });
         }
-        collected.extend_from_slice(&data);
+        SizeHint::Exact(announced) => announced as usize,
+        SizeHint::None => return Ok(Bytes::new()),
+        SizeHint::Unknown => max_bytes,
+    };
+    let reader = memory.open();
+    loop {
+        let data = tokio::select! {
+            biased;
+            () = reader.gave_way() => return Err(ReadError::GaveWay),
+            data = body.data() => data,
+        };
+        let Some(data) = data else { return reader.finish() };
+        let data = data.map_err(|e| ReadError::Broken { cause: e.to_string() })?;
+        reader.push(&data, most, max_bytes)?;
     }
-    Ok(collected.freeze())
-}
-
-fn too_large(max_bytes: usize) -> ApiError {
-    ApiError::not_run(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        "body_too_large",
-        format!("the body is longer than {max_bytes} bytes"),
-    )
-}
-
-fn is_complete(body: &RequestBody) -> bool {
-    Body::is_end_stream(body)
 }
--- a/agaterouted/src/front.rs
+++ b/agaterouted/src/front.rs
@@ -15,6 +15,7 @@
 
 use crate::auth::bearer_key;
 use crate::body::read_body;
+use crate::body_memory::BodyMemory;
 use crate::call::{self, CallRequest};
 use crate::daemon::{Config, Daemon, millis};
 use crate::error::ApiError;
@@ -50,12 +51,18 @@
 }
 
 /// Serves one request of a caller. Errors are turned into responses, so the caller always gets an answer.
-pub async fn handle(daemon: Arc<Daemon>, request: WebRequest) -> Result<WebResponse, Infallible> {
+pub async fn handle(
+    daemon: Arc<Daemon>,
+    memory: Arc<BodyMemory>,
+    request: WebRequest,
+) -> Result<WebResponse, Infallible> {
     let id = request_id(request.headers());
     let mut body_unread = has_body(request.headers());
     let parent = extract(request.headers());
     let context = daemon.telemetry.span("caller", SpanKind::Server, &parent);
-    let answer = route(&daemon, request, id.clone(), context.clone(), &mut body_unread).await;
+    let (head, ext) = request.into_parts();
+    let body = CallerBody { body: take_body(ext), memory, unread: &mut body_unread };
+    let answer = route(&daemon, &head, body, id.clone(), context.clone()).await;
     let mut response = answer.unwrap_or_else(|e| {
         end_span(&context, e.code);
         spdlog::info!("request_refused", kv: {
@@ -92,13 +99,11 @@
 
 async fn route(
     daemon: &Arc<Daemon>,
-    request: WebRequest,
+    head: &http::request::Parts,
+    body: CallerBody<'_>,
     id: Arc<str>,
     context: Context,
-    body_unread: &mut bool,
 ) -> Result<WebResponse, ApiError> {
-    let (head, ext) = request.into_parts();
-    let body = take_body(ext);
     let path = head.uri.path();
     match path {
         "/livez" => return Ok(text_response(StatusCode::OK, "live\n")),
@@ -121,8 +126,7 @@
         }
         "/v1/chat/completions" | "/v1/completions" => {
             check_method(method, &Method::POST)?;
-            let body = read_caller_body(&caller, body).await?;
-            *body_unread = false;
+            let body = body.read(&caller).await?;
             let chat = path == "/v1/chat/completions";
             generation::serve(daemon, caller, &head.headers, chat, body).await
         }
@@ -131,7 +135,7 @@
                 check_method(method, &Method::GET)?;
                 model_response(&caller, model)
             }
-            None => serve_service_call(daemon, caller, &head, body, body_unread).await,
+            None => serve_service_call(daemon, caller, head, body).await,
         },
     }
 }
@@ -140,17 +144,28 @@
     ext.replace_body(()).1
 }
 
-async fn read_caller_body(caller: &Caller, body: RequestBody) -> Result<bytes::Bytes, ApiError> {
-    let limits = &caller.config.document.limits;
-    read_body(body, limits.body_bytes, millis(limits.body_ms)).await
+/// The body of a request that is not read yet.
+struct CallerBody<'a> {
+    body: RequestBody,
+    memory: Arc<BodyMemory>,
+    unread: &'a mut bool,
+}
+
+impl CallerBody<'_> {
+    async fn read(self, caller: &Caller) -> Result<bytes::Bytes, ApiError> {
+        let limits = &caller.config.document.limits;
+        let timeout = millis(limits.body_ms);
+        let body = read_body(self.body, limits.body_bytes, timeout, &self.memory).await?;
+        *self.unread = false;
+        Ok(body)
+    }
 }
 
 async fn serve_service_call(
     daemon: &Arc<Daemon>,
     caller: Caller,
     head: &http::request::Parts,
-    body: RequestBody,
-    body_unread: &mut bool,
+    body: CallerBody<'_>,
 ) -> Result<WebResponse, ApiError> {
     let path = head.uri.path();
     let Some(rest) = path.strip_prefix(SERVICES_PATH) else {
@@ -162,8 +177,7 @@
         Some(query) => format!("{call_path}?{query}"),
         None => call_path.to_owned(),
     };
-    let body = read_caller_body(&caller, body).await?;
-    *body_unread = false;
+    let body = body.read(&caller).await?;
     let req = CallRequest {
         method: &head.method,
         service,
--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -12,11 +12,13 @@
 use xitca_web::service::fn_service;
 
 use crate::args::Args;
+use crate::body_memory::BodyMemory;
 use crate::daemon::{Daemon, millis};
 use crate::jobs::Job;
 use crate::telemetry::Telemetry;
 use crate::{fleet, follow, front, jobs, log, ops, peers, poll, route_instance, stream, tallies};
 
+const BYTES_PER_MB: usize = 1_000_000;
 const MAX_HEADERS: usize = 128;
 /// The size limit of a request's head, in the HTTP library.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
@@ -154,7 +156,8 @@
 /// Starts the HTTP server for callers. Returns a function that stops it.
 fn serve_callers(daemon: &Arc<Daemon>, listener: TcpListener) -> Result<impl Fn(), StartError> {
     let state = daemon.clone();
-    let service = fn_service(move |request| front::handle(state.clone(), request));
+    let memory = BodyMemory::new(daemon.settings.memory_mb as usize * BYTES_PER_MB);
+    let service = fn_service(move |request| front::handle(state.clone(), memory.clone(), request));
     let mut server = HttpServer::serve(service)
         .h2c_prior_knowledge()
         .worker_threads(daemon.settings.workers as usize)
