Bound the connections of callers at the stand-alone front

Nothing bounded them: 300 connections with one byte each took 316 descriptors where 100 are allowed, and 300 heads that stop short took 103 MiB where memory_mb names 96. The HTTP library accepts a connection only once the service is ready, so the service now has a permit for each: as many as connections says, and no more than descriptors (200 are kept) and half of the memory for heads allow. A head has at most 160 KiB, above the 128 KiB that a document may allow. Connections whose callers do not read would keep their permits for good: the sockets have a user timeout of idle_ms, and a receive buffer of 64 KiB.

--- a/agateroute_config/src/settings.rs
+++ b/agateroute_config/src/settings.rs
@@ -40,7 +40,8 @@
         #[serde(default = "memory")]
         #[schemars(range(min = 64))]
         pub memory_mb: u64,
-        /// The maximum number of connections of callers at once. Others wait until one is closed.
+        /// The maximum number of connections of callers at once. Fewer if memory or descriptors allow fewer. Others wait until
+        /// one is closed.
         #[serde(default = "connections")]
         #[schemars(range(min = 16))]
         pub connections: u32,
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod collect;
 pub mod compose;
+pub mod connection_limit;
 pub mod daemon;
 pub mod declared;
 pub mod discovery;
--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -9,10 +9,11 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use xitca_web::HttpServer;
-use xitca_web::service::fn_service;
+use xitca_web::service::{fn_build, fn_service};
 
 use crate::args::Args;
 use crate::body_memory::BodyMemory;
+use crate::connection_limit::{self, limited};
 use crate::daemon::{Daemon, millis};
 use crate::jobs::Job;
 use crate::telemetry::Telemetry;
@@ -20,8 +21,10 @@
 
 const BYTES_PER_MB: usize = 1_000_000;
 const MAX_HEADERS: usize = 128;
-/// The size limit of a request's head, in the HTTP library.
-const MAX_HEAD_BYTES: usize = 256 * 1024;
+/// The size limit of a request's head, in the HTTP library: above the largest header limit of a document.
+const MAX_HEAD_BYTES: usize = 160 * 1024;
+/// Heads of requests may use the memory of the process divided by this.
+const HEAD_MEMORY_DIVISOR: usize = 2;
 /// The size limit of the unsent bytes of a connection, which a slow caller fills.
 const MAX_WRITE_BUFFER_BYTES: usize = 64 * 1024;
 /// The pause between two checks whether a leaving instance still has requests.
@@ -156,13 +159,19 @@
 /// Starts the HTTP server for callers. Returns a function that stops it.
 fn serve_callers(daemon: &Arc<Daemon>, listener: TcpListener) -> Result<impl Fn(), StartError> {
     let state = daemon.clone();
-    let memory = BodyMemory::new(daemon.settings.memory_mb as usize * BYTES_PER_MB);
-    let service = fn_service(move |request| front::handle(state.clone(), memory.clone(), request));
-    let mut server = HttpServer::serve(service)
+    let bytes = daemon.settings.memory_mb as usize * BYTES_PER_MB;
+    let memory = BodyMemory::new(bytes);
+    let service = fn_build(move |request| front::handle(state.clone(), memory.clone(), request));
+    let settings = &daemon.settings;
+    let by_memory = bytes / HEAD_MEMORY_DIVISOR / MAX_HEAD_BYTES;
+    let connections = connection_limit::fitting(by_memory.min(settings.connections as usize));
+    connection_limit::bound_sockets(&listener, millis(settings.idle_ms))
+        .map_err(at_step("callers"))?;
+    let mut server = HttpServer::serve(limited(service, connections))
         .h2c_prior_knowledge()
-        .worker_threads(daemon.settings.workers as usize)
-        .request_head_timeout(millis(daemon.settings.head_ms))
-        .keep_alive_timeout(millis(daemon.settings.idle_ms))
+        .worker_threads(settings.workers as usize)
+        .request_head_timeout(millis(settings.head_ms))
+        .keep_alive_timeout(millis(settings.idle_ms))
         .max_request_headers::<MAX_HEADERS>()
         .max_read_buf_size::<MAX_HEAD_BYTES>()
         .max_write_buf_size::<MAX_WRITE_BUFFER_BYTES>()
--- a/agaterouted/tests/listeners.rs
+++ b/agaterouted/tests/listeners.rs
@@ -25,7 +25,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
 
@@ -49,6 +49,8 @@
 const MANY_CALLERS: usize = 300;
 /// The requests that are sent on one connection without reading an answer.
 const PIPELINED: usize = 2_000;
+/// The receive buffer of the clients of a crowd, in bytes.
+const RECEIVE_BYTES: u32 = 4 * 1024;
 /// The bytes of a head that stops short, for callers and at the other listeners.
 const CALLER_HEAD_BYTES: usize = 250_000;
 const HEAD_BYTES: usize = 380_000;
@@ -148,7 +150,10 @@
         let blocks: Vec<_> = blocks.iter().map(|(b, times)| (b.to_vec(), *times)).collect();
         senders.spawn(async move {
             // A client that is turned away fails at any point; that is its own affair.
-            let mut stream = TcpStream::connect(&address).await.ok()?;
+            // The little that it takes in before it reads fills up soon.
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.set_recv_buffer_size(RECEIVE_BYTES).expect("the size of its buffer");
+            let mut stream = socket.connect(address.parse().expect("an address")).await.ok()?;
             for (block, times) in blocks {
                 for _ in 0..times {
                     stream.write_all(&block).await.ok()?;
@@ -328,6 +333,9 @@
     let request = [&sized(STOCK, 4)[..], b"body"].concat().repeat(PIPELINED);
     let (address, clients) = (small.listen().to_owned(), CONNECTIONS as usize);
     let crowd = tokio::spawn(async move { crowd(&address, clients, &[(&request[..], 20)]).await });
+    // Their requests wait for answers that are not read.
+    let waiting = async || unread(small.listen()) > CONNECTIONS * BLOCK_BYTES as u64;
+    eventually("the crowd waits", waiting).await;
     small.holds().await;
     crowd.abort();
 }
