--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod collect;
 pub mod compose;
 pub mod connection_limit;
+pub mod connections;
 pub mod daemon;
 pub mod declared;
 pub mod discovery;
