Bound connections and heads at the listener for operators

It took the defaults of the HTTP library: 1 MiB for each head that stops short, on any number of connections. Now at most 64 connections, heads of at most 32 KiB, and 10 s in which an answer may stay unread.

--- a/agaterouted/src/run.rs
+++ b/agaterouted/src/run.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use xitca_web::HttpServer;
-use xitca_web::service::{fn_build, fn_service};
+use xitca_web::service::fn_build;
 
 use crate::args::Args;
 use crate::body_memory::BodyMemory;
@@ -25,6 +25,12 @@
 const MAX_HEAD_BYTES: usize = 160 * 1024;
 /// Heads of requests may use the memory of the process divided by this.
 const HEAD_MEMORY_DIVISOR: usize = 2;
+/// The size limit of the head of an operator's request. The HTTP library accepts no less than a frame of HTTP/2.
+const MAX_OPERATOR_HEAD_BYTES: usize = 32 * 1024;
+/// The connections of operators, of which a few ask at a time. Others wait.
+const MAX_OPERATOR_CONNECTIONS: usize = 64;
+/// How long an operator may leave an answer unread.
+const OPERATOR_UNREAD_TIME: Duration = Duration::from_secs(10);
 /// The size limit of the unsent bytes of a connection, which a slow caller fills.
 const MAX_WRITE_BUFFER_BYTES: usize = 64 * 1024;
 /// The pause between two checks whether a leaving instance still has requests.
@@ -187,9 +193,13 @@
 /// Starts the HTTP server for operators. Returns a function that stops it.
 fn serve_operators(daemon: &Arc<Daemon>, listener: TcpListener) -> Result<impl Fn(), StartError> {
     let state = daemon.clone();
-    let service = fn_service(move |request| ops::handle(state.clone(), request));
-    let mut server = HttpServer::serve(service)
+    let service = fn_build(move |request| ops::handle(state.clone(), request));
+    connection_limit::bound_sockets(&listener, OPERATOR_UNREAD_TIME)
+        .map_err(at_step("operators"))?;
+    let mut server = HttpServer::serve(limited(service, MAX_OPERATOR_CONNECTIONS))
         .worker_threads(1)
+        .max_read_buf_size::<MAX_OPERATOR_HEAD_BYTES>()
+        .max_write_buf_size::<MAX_WRITE_BUFFER_BYTES>()
         .disable_signal()
         .listen(listener)
         .map_err(at_step("operators"))?
