Bound the connections of peers

Nothing bounded them: 300 connections with four bytes each took 321 descriptors where 400 are allowed and 200 reserved. Connections of peers now take at most a quarter of the descriptors, and at least 64; those above are closed at once. A fleet of 834 needs about 1,100 (a stream for each pair and at most 64 channels for fetches and forwarded requests from each), and its instances have 8,200 descriptors.

--- a/agaterouted/src/connection_limit.rs
+++ b/agaterouted/src/connection_limit.rs
@@ -12,6 +12,8 @@
 
 /// The descriptors that are kept for connections to backend servers, peers, operators and the platform.
 const RESERVED_DESCRIPTORS: usize = 200;
+/// No process is taken to open more descriptors than this, whatever its limit.
+const MAX_DESCRIPTORS: usize = 1 << 20;
 /// The receive buffer of a connection, in bytes. The kernel's own default grows to megabytes.
 const RECEIVE_BYTES: usize = 64 * 1024;
 /// The fewest connections of callers, however few descriptors the process may open.
@@ -54,8 +56,12 @@
 
 /// Returns how many connections of callers fit into the descriptors that this process may open, at most `most`.
 pub fn fitting(most: usize) -> usize {
-    let descriptors = getrlimit(Resource::Nofile).current.map_or(usize::MAX, |d| d as usize);
-    most.min(descriptors.saturating_sub(RESERVED_DESCRIPTORS)).max(MIN_CONNECTIONS)
+    most.min(descriptors().saturating_sub(RESERVED_DESCRIPTORS)).max(MIN_CONNECTIONS)
+}
+
+/// Returns how many descriptors this process may open.
+pub fn descriptors() -> usize {
+    getrlimit(Resource::Nofile).current.map_or(MAX_DESCRIPTORS, |d| d as usize).min(MAX_DESCRIPTORS)
 }
 
 /// Bounds what the connections of a listener hold in their sockets, and for how long their peers may leave it unread.
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod memory_copy;
 pub mod ops;
 pub mod pages;
+pub mod peer_listener;
 pub mod peers;
 pub mod permit;
 pub mod plain;
--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -18,13 +18,15 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_stream::StreamExt;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status, Streaming};
 
+use crate::connection_limit;
 use crate::daemon::{Daemon, millis};
 use crate::forward;
+use crate::peer_listener::accept;
 use crate::route_instance::RouteInstance;
 
 /// The heartbeats sent within `peer_ms`, after which a silent peer counts as gone.
@@ -50,6 +52,11 @@
 /// The largest message of a forwarded request or its answer, above the largest bodies of both.
 const MAX_FORWARD_BYTES: usize = 64 * 1024 * 1024;
 
+/// Connections of peers may use the descriptors of the process divided by this. Each peer needs one or two.
+const DESCRIPTOR_DIVISOR: usize = 4;
+/// The smallest bound on them, whatever the descriptors.
+const MIN_CONNECTIONS: usize = 64;
+
 type BatchStream =
     futures_util::stream::Map<ReceiverStream<Batch>, fn(Batch) -> Result<Batch, Status>>;
 
@@ -113,12 +120,18 @@
     listener: TcpListener,
     cancel: CancellationToken,
 ) -> Result<(), tonic::transport::Error> {
+    let instance = routes.clone();
+    let connections = move || {
+        let descriptors = instance.as_ref().map(|r| r.bounds().descriptors);
+        let descriptors = descriptors.unwrap_or_else(connection_limit::descriptors);
+        (descriptors / DESCRIPTOR_DIVISOR).max(MIN_CONNECTIONS)
+    };
     let service = PeerService { daemon, routes, cancel: cancel.clone() };
     let service = PeersServer::new(service).max_decoding_message_size(MAX_FORWARD_BYTES);
     Server::builder()
         .tcp_nodelay(true)
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), cancel.cancelled())
+        .serve_with_incoming_shutdown(accept(listener, connections), cancel.cancelled())
         .await
 }
 
