Count the requests that peers hand over

The gRPC library reads a message of up to 64 MiB into a buffer of its own, on any number of streams: 200 messages that stop one byte before the end of 1 MiB took 226 MiB where the settings name 96 MB. Their bytes now count in BodyMemory as they arrive, and the body of a whole request until its last copy is dropped.

Without memory the call ends with resource_exhausted and a message that says that nothing has run; the sender then tries another peer. A sender of a build before this takes it for a lost answer, as any failed call.

--- a/agaterouted/src/forward.rs
+++ b/agaterouted/src/forward.rs
@@ -24,6 +24,8 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Status, Streaming};
 
+use crate::body_memory::ReadError;
+use crate::peer_listener::{NO_MEMORY, no_memory};
 use crate::permit::Permit;
 use crate::request_tracker::{FinalOutcome, Tracker};
 use crate::route_instance::RouteInstance;
@@ -125,6 +127,7 @@
         }
         // A peer of an older build does not know the method, and one without routes serves none.
         Err(status) if status.code() == tonic::Code::Unimplemented => return Outcome::NotRun,
+        Err(status) if status.message() == NO_MEMORY => return Outcome::NotRun,
         Err(_) => return Outcome::Lost,
     };
     let Ok(Some(ForwardPart { part: Some(Part::Head(head)) })) = parts.message().await else {
@@ -270,7 +273,7 @@
     let guard = BusyGuard(instance.clone());
     let head = request_head(&forwarded)
         .ok_or_else(|| Status::invalid_argument("the head of the request is not valid"))?;
-    let body = Bytes::from(forwarded.body);
+    let body = hold_body(&instance, forwarded.body).map_err(no_memory)?;
     let arrived = Instant::now() - crate::daemon::millis(forwarded.elapsed_ms.min(MAX_ELAPSED_MS));
     let hop = Hop { version: forwarded.version, begun: forwarded.begun };
     let (response, refused) = serve::handle_forwarded(&instance, head, body, arrived, hop).await;
@@ -285,6 +288,14 @@
     Ok(first.chain(rest).boxed())
 }
 
+/// Counts a body until its last copy is dropped.
+fn hold_body(instance: &RouteInstance, body: Vec<u8>) -> Result<Bytes, ReadError> {
+    let reader = instance.body_memory.open();
+    reader.push(&body, body.len(), body.len())?;
+    drop(body);
+    reader.finish()
+}
+
 type Rest = (Option<BoxBody>, BusyGuard);
 
 async fn next_part((body, guard): Rest) -> Option<(Result<ForwardPart, Status>, Rest)> {
--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::connection_limit;
 use crate::daemon::{Daemon, millis};
 use crate::forward;
-use crate::peer_listener::accept;
+use crate::peer_listener::{Counted, accept};
 use crate::route_instance::RouteInstance;
 
 /// The heartbeats sent within `peer_ms`, after which a silent peer counts as gone.
@@ -120,6 +120,7 @@
     listener: TcpListener,
     cancel: CancellationToken,
 ) -> Result<(), tonic::transport::Error> {
+    let memory = routes.as_ref().map(|r| r.body_memory.clone());
     let instance = routes.clone();
     let connections = move || {
         let descriptors = instance.as_ref().map(|r| r.bounds().descriptors);
@@ -128,6 +129,7 @@
     };
     let service = PeerService { daemon, routes, cancel: cancel.clone() };
     let service = PeersServer::new(service).max_decoding_message_size(MAX_FORWARD_BYTES);
+    let service = Counted { service, memory };
     Server::builder()
         .tcp_nodelay(true)
         .add_service(service)
