Bound the answers that peers give to forwarded requests

An instance without servers collected the answer of a peer without any bound: 400 MiB took 423 MiB. The parts are now read through AnswerMemory, as answers of servers are: at most 16 MiB for one, and all together within the share of the memory for answers. Beyond that the answer counts as lost, since the request has run.

--- a/agaterouted/src/answer_body.rs
+++ b/agaterouted/src/answer_body.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 use crate::body_memory::{RESERVE_DIVISOR, SMALL_BYTES, next_capacity};
 use crate::connections::Connections;
@@ -22,7 +22,7 @@
 pub enum BodyError {
     /// The connection broke, or the body is malformed.
     #[display("body broken: {_0}")]
-    Broken(hyper::Error),
+    Broken(String),
     /// The body is longer than any that is accepted.
     #[display("body longer than {MAX_ANSWER_BYTES} bytes")]
     TooLong,
@@ -90,12 +90,19 @@
     }
 
     /// Reads a whole body. Its memory counts until the returned bytes and all their copies are dropped.
-    pub async fn read(self: &Arc<Self>, mut body: Incoming) -> Result<Bytes, BodyError> {
+    pub async fn read<B>(self: &Arc<Self>, body: B) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: std::fmt::Display,
+    {
+        let mut body = std::pin::pin!(body);
         let announced = body.size_hint().exact().map_or(usize::MAX, |length| length as usize);
         let most = announced.min(MAX_ANSWER_BYTES);
         let mut read = CountedBody { buffer: Vec::new(), memory: self.clone(), counted: 0 };
         while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
+            let Ok(data) = frame.map_err(|e| BodyError::Broken(e.to_string()))?.into_data() else {
+                continue;
+            };
             let length = read.buffer.len() + data.len();
             if length > MAX_ANSWER_BYTES {
                 return Err(BodyError::TooLong);
--- a/agaterouted/src/forward.rs
+++ b/agaterouted/src/forward.rs
@@ -12,12 +12,12 @@
 use agateroute_proto::peers::{
     ForwardFinish, ForwardHead, ForwardHeader, ForwardPart, ForwardRequest,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::{self, BoxStream};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use opentelemetry::trace::SpanKind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -140,21 +140,35 @@
     if call.route.kind.streams() && response.status() == StatusCode::OK {
         return Outcome::Streaming(response, Box::new(parts));
     }
-    let mut body = BytesMut::new();
-    loop {
-        match parts.message().await {
-            Ok(Some(ForwardPart { part: Some(Part::Data(data)) })) => body.extend_from_slice(&data),
-            Ok(Some(ForwardPart { part: Some(Part::Finish(_)) })) => break,
-            _ => return Outcome::Lost,
+    let body = match instance.answer_memory.read(buffered(parts)).await {
+        Ok(body) => body,
+        Err(error) => {
+            spdlog::warn!("forwarded_answer_lost", kv: { request: = &*call.id, error: });
+            return Outcome::Lost;
         }
-    }
-    let response = response.map(|()| full_body(body.freeze()));
+    };
+    let response = response.map(|()| full_body(body));
     match head.refused.is_empty() {
         true => Outcome::Answered(response),
         false => Outcome::Refused(response),
     }
 }
 
+/// The rest of an answer that is not streamed. It is broken without its last part.
+fn buffered(parts: Streaming<ForwardPart>) -> impl Body<Data = Bytes, Error = &'static str> {
+    let next = async |parts: Option<Streaming<ForwardPart>>| {
+        let mut parts = parts?;
+        match parts.message().await {
+            Ok(Some(ForwardPart { part: Some(Part::Data(data)) })) => {
+                Some((Ok(Frame::data(Bytes::from(data))), Some(parts)))
+            }
+            Ok(Some(ForwardPart { part: Some(Part::Finish(_)) })) => None,
+            _ => Some((Err("the last part is missing"), None)),
+        }
+    };
+    StreamBody::new(stream::unfold(Some(parts), next))
+}
+
 /// Whether a failed call may have reached the peer: only an error of the connection itself shows that it has not.
 fn reached(status: &Status) -> bool {
     let mut source = std::error::Error::source(status);
