Refuse a body that is broken off before its announced length

The HTTP library of the stand-alone front ends a body whose connection closes like a whole one, so a call with the first four bytes of ten was sent to its server and answered 200. The length is now compared with the announced one: 400, not run.

front_sized_body_broken_off: 200 before, passes now.

--- a/agaterouted/src/body.rs
+++ b/agaterouted/src/body.rs
@@ -33,14 +33,15 @@
     max_bytes: usize,
     memory: &Arc<BodyMemory>,
 ) -> Result<Bytes, ReadError> {
-    let most = match body.size_hint() {
+    let announced = match body.size_hint() {
         SizeHint::Exact(announced) if announced > max_bytes as u64 => {
             return Err(ReadError::TooLong { max_bytes });
         }
-        SizeHint::Exact(announced) => announced as usize,
+        SizeHint::Exact(announced) => Some(announced as usize),
         SizeHint::None => return Ok(Bytes::new()),
-        SizeHint::Unknown => max_bytes,
+        SizeHint::Unknown => None,
     };
+    let most = announced.unwrap_or(max_bytes);
     let reader = memory.open();
     loop {
         let data = tokio::select! {
@@ -48,7 +49,14 @@
             () = reader.gave_way() => return Err(ReadError::GaveWay),
             data = body.data() => data,
         };
-        let Some(data) = data else { return reader.finish() };
+        let Some(data) = data else {
+            let body = reader.finish()?;
+            // The HTTP library ends a body that is broken off like a whole one.
+            if announced.is_some_and(|length| length != body.len()) {
+                return Err(ReadError::Broken { cause: "the connection was closed".to_owned() });
+            }
+            return Ok(body);
+        };
         let data = data.map_err(|e| ReadError::Broken { cause: e.to_string() })?;
         reader.push(&data, most, max_bytes)?;
     }
--- a/agaterouted/tests/listeners.rs
+++ b/agaterouted/tests/listeners.rs
@@ -247,6 +247,15 @@
     small.holds_once_read().await;
 }
 
+// Guards against reading on in a body that is sent beyond the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn front_sent_over_the_limit() {
+    let mut small = start_small().await;
+    let blocks = [(&chunked(STOCK)[..], 1), (&chunk(BODY_BYTES / 8)[..], 64)];
+    let _open = crowd(small.listen(), CALLERS, &blocks).await;
+    small.holds_once_read().await;
+}
+
 // Guards against memory for bodies of many streams on few connections.
 #[tokio::test(flavor = "multi_thread")]
 async fn front_multiplexed_bodies() {
@@ -485,3 +494,29 @@
         assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
     }
 }
+
+/// Sends the start of a request, ends the sending direction, and reads what is answered.
+async fn broken_off(address: &str, sent: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(sent).await.expect("the request is sent");
+    stream.shutdown().await.expect("the connection is closed for sending");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+// Guards against a body that is broken off and served as if it were whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn front_sized_body_broken_off() {
+    let small = start_small().await;
+    let answer = broken_off(small.listen(), &[sized(STOCK, 10), b"half".to_vec()].concat()).await;
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+// Guards against a body in chunks that is broken off and served as if it were whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn front_chunks_broken_off() {
+    let small = start_small().await;
+    let answer = broken_off(small.listen(), &[chunked(STOCK), chunk(10)].concat()).await;
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
