--- a/agaterouted/tests/forward_peers.rs
+++ b/agaterouted/tests/forward_peers.rs
@@ -151,7 +151,7 @@
     ) -> Result<Response<Self::ForwardStream>, Status> {
         let head = ForwardHead { status: 200, ..ForwardHead::default() };
         let head = stream::iter([Part::Head(head)]);
-        let data = stream::iter(0..PARTS).map(|_| Part::Data(vec![b'x'; PART_BYTES].into()));
+        let data = stream::iter(0..PARTS).map(|_| Part::Data(vec![b'x'; PART_BYTES]));
         let parts = head.chain(data).map(|part| Ok(ForwardPart { part: Some(part) }));
         Ok(Response::new(Box::pin(parts)))
     }
