--- a/agaterouted/src/forward.rs
+++ b/agaterouted/src/forward.rs
@@ -12,18 +12,20 @@
 use agateroute_proto::peers::{
     ForwardFinish, ForwardHead, ForwardHeader, ForwardPart, ForwardRequest,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::{self, BoxStream};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use opentelemetry::trace::SpanKind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Status, Streaming};
 
+use crate::body_memory::ReadError;
+use crate::peer_listener::{NO_MEMORY, no_memory};
 use crate::permit::Permit;
 use crate::request_tracker::{FinalOutcome, Tracker};
 use crate::route_instance::RouteInstance;
@@ -123,6 +125,9 @@
         Err(status) if status.code() == tonic::Code::Unavailable && !reached(&status) => {
             return Outcome::NotRun;
         }
+        // A peer of an older build does not know the method, and one without routes serves none.
+        Err(status) if status.code() == tonic::Code::Unimplemented => return Outcome::NotRun,
+        Err(status) if status.message() == NO_MEMORY => return Outcome::NotRun,
         Err(_) => return Outcome::Lost,
     };
     let Ok(Some(ForwardPart { part: Some(Part::Head(head)) })) = parts.message().await else {
@@ -135,21 +140,35 @@
     if call.route.kind.streams() && response.status() == StatusCode::OK {
         return Outcome::Streaming(response, Box::new(parts));
     }
-    let mut body = BytesMut::new();
-    loop {
-        match parts.message().await {
-            Ok(Some(ForwardPart { part: Some(Part::Data(data)) })) => body.extend_from_slice(&data),
-            Ok(Some(ForwardPart { part: Some(Part::Finish(_)) })) => break,
-            _ => return Outcome::Lost,
+    let body = match instance.answer_memory.read(buffered(parts)).await {
+        Ok(body) => body,
+        Err(error) => {
+            spdlog::warn!("forwarded_answer_lost", kv: { request: = &*call.id, error: });
+            return Outcome::Lost;
         }
-    }
-    let response = response.map(|()| full_body(body.freeze()));
+    };
+    let response = response.map(|()| full_body(body));
     match head.refused.is_empty() {
         true => Outcome::Answered(response),
         false => Outcome::Refused(response),
     }
 }
 
+/// The rest of an answer that is not streamed. It is broken without its last part.
+fn buffered(parts: Streaming<ForwardPart>) -> impl Body<Data = Bytes, Error = &'static str> {
+    let next = async |parts: Option<Streaming<ForwardPart>>| {
+        let mut parts = parts?;
+        match parts.message().await {
+            Ok(Some(ForwardPart { part: Some(Part::Data(data)) })) => {
+                Some((Ok(Frame::data(Bytes::from(data))), Some(parts)))
+            }
+            Ok(Some(ForwardPart { part: Some(Part::Finish(_)) })) => None,
+            _ => Some((Err("the last part is missing"), None)),
+        }
+    };
+    StreamBody::new(stream::unfold(Some(parts), next))
+}
+
 /// Whether a failed call may have reached the peer: only an error of the connection itself shows that it has not.
 fn reached(status: &Status) -> bool {
     let mut source = std::error::Error::source(status);
@@ -268,7 +287,7 @@
     let guard = BusyGuard(instance.clone());
     let head = request_head(&forwarded)
         .ok_or_else(|| Status::invalid_argument("the head of the request is not valid"))?;
-    let body = Bytes::from(forwarded.body);
+    let body = hold_body(&instance, forwarded.body).map_err(no_memory)?;
     let arrived = Instant::now() - crate::daemon::millis(forwarded.elapsed_ms.min(MAX_ELAPSED_MS));
     let hop = Hop { version: forwarded.version, begun: forwarded.begun };
     let (response, refused) = serve::handle_forwarded(&instance, head, body, arrived, hop).await;
@@ -283,6 +302,14 @@
     Ok(first.chain(rest).boxed())
 }
 
+/// Counts a body until its last copy is dropped.
+fn hold_body(instance: &RouteInstance, body: Vec<u8>) -> Result<Bytes, ReadError> {
+    let reader = instance.body_memory.open();
+    reader.push(&body, body.len(), body.len())?;
+    drop(body);
+    reader.finish()
+}
+
 type Rest = (Option<BoxBody>, BusyGuard);
 
 async fn next_part((body, guard): Rest) -> Option<(Result<ForwardPart, Status>, Rest)> {
