Pass over parts of a forwarded answer that a later build has added

A part of an unknown kind ended the answer of a peer as lost, also after the request had run. Tests: two_builds.rs, parts_of_a_later_build failed before (502 in place of the answer); forwarding_unknown_to_the_peer passes.

--- a/agaterouted/src/forward.rs
+++ b/agaterouted/src/forward.rs
@@ -22,7 +22,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::{Status, Streaming};
+use tonic::{Code, Status, Streaming};
 
 use crate::body_memory::ReadError;
 use crate::peer_listener::{NO_MEMORY, no_memory};
@@ -122,15 +122,15 @@
     let mut parts = match sent {
         Ok(parts) => parts,
         // Nothing was sent without a connection.
-        Err(status) if status.code() == tonic::Code::Unavailable && !reached(&status) => {
+        Err(status) if status.code() == Code::Unavailable && !reached(&status) => {
             return Outcome::NotRun;
         }
         // A peer of an older build does not know the method, and one without routes serves none.
-        Err(status) if status.code() == tonic::Code::Unimplemented => return Outcome::NotRun,
+        Err(status) if status.code() == Code::Unimplemented => return Outcome::NotRun,
         Err(status) if status.message() == NO_MEMORY => return Outcome::NotRun,
         Err(_) => return Outcome::Lost,
     };
-    let Ok(Some(ForwardPart { part: Some(Part::Head(head)) })) = parts.message().await else {
+    let Ok(Some(Part::Head(head))) = receive_part(&mut parts).await else {
         return Outcome::Lost;
     };
     let Some(response) = decode_head(&head) else { return Outcome::Lost };
@@ -158,17 +158,25 @@
 fn buffered(parts: Streaming<ForwardPart>) -> impl Body<Data = Bytes, Error = &'static str> {
     let next = async |parts: Option<Streaming<ForwardPart>>| {
         let mut parts = parts?;
-        match parts.message().await {
-            Ok(Some(ForwardPart { part: Some(Part::Data(data)) })) => {
-                Some((Ok(Frame::data(Bytes::from(data))), Some(parts)))
-            }
-            Ok(Some(ForwardPart { part: Some(Part::Finish(_)) })) => None,
+        match receive_part(&mut parts).await {
+            Ok(Some(Part::Data(data))) => Some((Ok(Frame::data(Bytes::from(data))), Some(parts))),
+            Ok(Some(Part::Finish(_))) => None,
             _ => Some((Err("the last part is missing"), None)),
         }
     };
     StreamBody::new(stream::unfold(Some(parts), next))
 }
 
+/// Receives the next part of an answer. Kinds that a later build has added are passed over.
+async fn receive_part(parts: &mut Streaming<ForwardPart>) -> Result<Option<Part>, Status> {
+    loop {
+        match parts.message().await? {
+            Some(ForwardPart { part: None }) => {}
+            next => return Ok(next.and_then(|p| p.part)),
+        }
+    }
+}
+
 /// Whether a failed call may have reached the peer: only an error of the connection itself shows that it has not.
 fn reached(status: &Status) -> bool {
     let mut source = std::error::Error::source(status);
@@ -240,18 +248,18 @@
             let part = tokio::select! {
                 biased;
                 () = sender.closed() => break Some("caller_gone"),
-                part = parts.message() => part,
+                part = receive_part(&mut parts) => part,
                 () = tokio::time::sleep_until(call.answer_by) => break Some("time_over"),
                 () = instance.ending.cancelled() => break Some("instance_ends"),
             };
             match part {
-                Ok(Some(ForwardPart { part: Some(Part::Data(data)) })) => {
+                Ok(Some(Part::Data(data))) => {
                     tracker.record_tokens(1);
                     if sender.send(Ok(Frame::data(Bytes::from(data)))).await.is_err() {
                         break Some("caller_gone");
                     }
                 }
-                Ok(Some(ForwardPart { part: Some(Part::Finish(_)) })) => break None,
+                Ok(Some(Part::Finish(_))) => break None,
                 _ => break Some("peer_broke_off"),
             }
         };
--- a/agaterouted/tests/two_builds.rs
+++ b/agaterouted/tests/two_builds.rs
@@ -12,25 +12,34 @@
 use agateroute_core::server_list::ServerList;
 use agateroute_core::tally::Tally;
 use agateroute_core::{id, id::mix, rendezvous};
+use agateroute_proto::peers::forward_part::Part;
 use agateroute_proto::peers::message::Body;
-use agateroute_proto::peers::{Batch, Deny, Hello, Message, StreamAsk, StreamReply};
+use agateroute_proto::peers::peers_client::PeersClient;
+use agateroute_proto::peers::peers_server::{Peers, PeersServer};
+use agateroute_proto::peers::{
+    Ask, Batch, Deny, FetchReply, FetchRequest, ForwardFinish, ForwardHead, ForwardPart,
+    ForwardRequest, Grant, Hello, Message, StreamAsk, StreamReply,
+};
 use agaterouted::compose::{PeerDocument, PeerListing};
 use agaterouted::tallies::{TallyEntry, TallyRecord};
 use agatestand::instance::{Instance, eventually, field};
 use bytes::{Buf, BufMut, Bytes};
+use futures_util::StreamExt;
+use futures_util::stream::{self, BoxStream};
 use http::StatusCode;
 use http::uri::PathAndQuery;
-use platform_fixture::start_platform;
+use platform_fixture::{TestPlatform, start_platform};
 use prost::Message as _;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::client::Grpc;
 use tonic::codec::{Codec, DecodeBuf, Decoder, EncodeBuf, Encoder};
-use tonic::transport::Endpoint;
-use tonic::{Request, Status, Streaming};
+use tonic::transport::{Endpoint, Server};
+use tonic::{Request, Response, Status, Streaming};
 
 const LAST_LANDING: &str = include_str!("recorded/3cefccd.txt");
 
@@ -304,3 +313,131 @@
     }
     assert!(!instance.logged("event=peer_unlinked"), "the link ended");
 }
+
+/// How the peer of another build answers a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Forwards {
+    /// The build before forwarding does not know the call.
+    Unknown,
+    /// A later build sends parts of a kind that this one does not know, among the others.
+    UnknownParts,
+}
+
+/// A peer of another build, which reaches servers.
+struct OtherPeer(Forwards);
+
+#[tonic::async_trait]
+impl Peers for OtherPeer {
+    type LinkStream = BoxStream<'static, Result<Batch, Status>>;
+    type ForwardStream = BoxStream<'static, Result<ForwardPart, Status>>;
+
+    async fn link(
+        &self,
+        _: Request<Streaming<Batch>>,
+    ) -> Result<Response<Self::LinkStream>, Status> {
+        Err(Status::unavailable("this peer dials"))
+    }
+
+    async fn fetch(&self, _: Request<FetchRequest>) -> Result<Response<FetchReply>, Status> {
+        Err(Status::unavailable("this peer reads nothing"))
+    }
+
+    async fn forward(
+        &self,
+        _: Request<ForwardRequest>,
+    ) -> Result<Response<Self::ForwardStream>, Status> {
+        if self.0 == Forwards::Unknown {
+            // What gRPC servers answer to a call that they do not know.
+            return Err(Status::unimplemented(""));
+        }
+        let head = ForwardHead { status: 200, ..ForwardHead::default() };
+        let parts = [
+            None,
+            Some(Part::Head(head)),
+            None,
+            Some(Part::Data(b"an answer".to_vec())),
+            None,
+            Some(Part::Finish(ForwardFinish {})),
+        ];
+        let parts = parts.map(|part| Ok(ForwardPart { part }));
+        Ok(Response::new(stream::iter(parts).boxed()))
+    }
+}
+
+/// Links an instance to a peer that grants every permit and sends heartbeats, until cancelled.
+async fn link_other(platform: &TestPlatform, instance: &Instance, forwards: Forwards) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("its address").to_string();
+    let service = PeersServer::new(OtherPeer(forwards));
+    let incoming = TcpListenerStream::new(listener);
+    let cancelled = platform.cancel.clone().cancelled_owned();
+    let server = Server::builder().add_service(service);
+    tokio::spawn(server.serve_with_incoming_shutdown(incoming, cancelled));
+    let started = instance.find("event=started").expect("the line at the start");
+    let own = format!("http://{}", field(&started, "peer"));
+    let mut client = PeersClient::connect(own).await.expect("a connection");
+    let (sender, outgoing) = mpsc::channel(4);
+    let instance_name = "entry-of-another-build".to_owned();
+    let hello = Hello { instance: instance_name, start: 1, address, ..Hello::default() };
+    let hello = Batch { hello: Some(hello), ..Batch::default() };
+    sender.send(hello).await.expect("the channel is open");
+    let incoming = client.link(ReceiverStream::new(outgoing)).await.expect("a stream");
+    let mut incoming = incoming.into_inner();
+    tokio::spawn(async move {
+        // The heartbeats of the instance set the pace of this peer's.
+        while let Ok(Some(batch)) = incoming.message().await {
+            let grants = batch.messages.into_iter().filter_map(|m| match m.body {
+                Some(Body::Ask(Ask { request, server, .. })) => {
+                    Some(Body::Grant(Grant { request, server, ..Grant::default() }))
+                }
+                _ => None,
+            });
+            let messages = grants.map(|body| Message { body: Some(body) }).collect();
+            if sender.send(Batch { messages, ..Batch::default() }).await.is_err() {
+                return;
+            }
+        }
+    });
+    eventually("the peer is linked", async || instance.logged("event=peer_linked")).await;
+}
+
+/// Starts an instance that reaches no server, with a peer of another build.
+async fn start_cut(platform: &TestPlatform, forwards: Forwards) -> Instance {
+    let instance = platform.start_instance(5_000).await;
+    link_other(platform, &instance, forwards).await;
+    platform.plain.iter().for_each(agateroute_standin::Server::crash);
+    eventually("the instance notices that it reaches no server", async || {
+        instance.call("POST", "/stock/", "yew-key", "").await;
+        instance.logged("event=servers_reached reached=false")
+    })
+    .await;
+    instance
+}
+
+/// Guards against a caller who is told that a request may have run, since a peer of a build before does not know the call.
+#[tokio::test]
+async fn forwarding_unknown_to_the_peer() {
+    let platform = start_platform(3, 0, 0).await;
+    let instance = start_cut(&platform, Forwards::Unknown).await;
+    let answer = instance.call("POST", "/order/", "yew-key", "").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "it has not run");
+    let logged = async || instance.logged("outcome=not_run");
+    eventually("it was offered to the peer", logged).await;
+    assert!(!instance.logged("outcome=lost"), "taken for a request that may have run");
+}
+
+/// Guards against an answer of a peer that is thrown away over a part that a later build added.
+#[tokio::test]
+async fn parts_of_a_later_build() {
+    let platform = start_platform(3, 0, 0).await;
+    let instance = start_cut(&platform, Forwards::UnknownParts).await;
+    for path in ["/order/", "/draft/"] {
+        let answer = instance.call("POST", path, "yew-key", "").await;
+        assert_eq!(
+            (answer.status, &answer.body[..]),
+            (StatusCode::OK, &b"an answer"[..]),
+            "{path}"
+        );
+        assert!(answer.complete, "{path}");
+    }
+}
