--- a/agatestand/src/checker.rs
+++ b/agatestand/src/checker.rs
@@ -8,8 +8,8 @@
 
 use crate::instance::Answer;
 use crate::needs::NeedLog;
-use crate::planned::StopCounts;
 use crate::resumed::{self, Received, StreamCounts};
+use crate::stops::StopCounts;
 
 /// Maximum time for which a withdrawn key may still be served, as in the instances' settings.
 pub const REVOKE_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -30,14 +30,6 @@
 pub const MAX_EVENTS: u64 = 340;
 /// Time from SIGTERM to the kill, as in the instances' settings.
 pub const GRACE_TIME: Duration = Duration::from_millis(8_000);
-/// Time from SIGTERM after which a server that is still at work excuses a cut: all but the last sixth of the grace time.
-const LATE_WORK_TIME: Duration = Duration::from_millis(6_667);
-/// Time from SIGTERM until which a request may be sent for that excuse.
-pub const EARLY_REQUEST_TIME: Duration = Duration::from_millis(3_000);
-/// Time by which an answer may end before its caller's deadline and count as ended by it: the time that the program
-/// needs to send a final answer, with room for a busy machine.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
-
 /// Kind of request of a soak, one for each route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -108,7 +100,7 @@
     /// Index of the testbed slot whose instance got the request.
     pub slot: usize,
     /// Whether the answer states that the request was not run.
-    refused: bool,
+    pub(crate) refused: bool,
     /// Description of the failure, if the connection ended without an answer and its instance had no
     /// fault.
     lost: Option<String>,
@@ -117,9 +109,9 @@
     /// Number of events of the whole stream; 0 for a plain call.
     pub events: u64,
     /// Names of the servers that ran it, or to which it moved.
-    servers: Vec<String>,
+    pub(crate) servers: Vec<String>,
     /// When its answer broke off, if it did, and how much of it there was.
-    cut: Option<(Instant, String)>,
+    pub(crate) cut: Option<(Instant, String)>,
     /// What its caller had of the stream when it sent the request; `None` for a new one.
     pub resumes: Option<Received>,
     /// What its caller has of the stream since it broke off.
@@ -178,13 +170,13 @@
     pub skip_timing: bool,
     /// Number of answers by status; 0 stands for no answer.
     pub answers: Vec<(u16, u64)>,
-    sent: Vec<Sent>,
+    pub(crate) sent: Vec<Sent>,
     /// Faults with their start, and their end if they have ended.
     pub(crate) faults: Vec<(Part, Instant, Option<Instant>)>,
     /// Names of leaving servers, with the time at which they were recorded.
     pub(crate) leaving: Vec<(String, Instant)>,
     /// Slots whose instance got SIGTERM, when, and when its process had ended.
-    stops: Vec<(usize, Instant, Option<Instant>)>,
+    pub(crate) stops: Vec<(usize, Instant, Option<Instant>)>,
     /// Requests sent to stopping instances.
     pub stop_counts: StopCounts,
     /// Streams that callers began and resumed.
@@ -253,46 +245,6 @@
         running.for_each(|(_, _, end)| *end = Some(Instant::now()));
     }
 
-    /// Records when the instance of a slot got SIGTERM, at the latest.
-    pub fn record_stop(&mut self, slot: usize, at: Instant) {
-        self.stops.push((slot, at, None));
-    }
-
-    /// Records that the process of a slot has ended.
-    pub fn record_stop_end(&mut self, slot: usize) {
-        let running = self.stops.iter_mut().filter(|(s, _, end)| *s == slot && end.is_none());
-        running.for_each(|(_, _, end)| *end = Some(Instant::now()));
-    }
-
-    /// Returns the time since SIGTERM of the instance of a slot, if it is stopping.
-    pub fn stopping_for(&self, slot: usize) -> Option<Duration> {
-        let stop = self.stops.iter().find(|(s, _, end)| *s == slot && end.is_none());
-        stop.map(|(_, at, _)| at.elapsed())
-    }
-
-    /// Returns the SIGTERM of the process that a request reached at a time, if it had got one by then.
-    pub(crate) fn stop_before(&self, slot: usize, sent: Instant, time: Instant) -> Option<Instant> {
-        let reached = |(s, at, end): &&(usize, Instant, Option<Instant>)| {
-            *s == slot && *at <= time && end.is_none_or(|e| e >= sent)
-        };
-        self.stops.iter().find(reached).map(|(_, at, _)| *at)
-    }
-
-    /// Counts a request to a stopping instance that got an answer. `kept` says whether its connection had served a
-    /// request before.
-    pub fn count_stopping(&mut self, id: &str, kept: bool) {
-        let Some(sent) = self.find(id).map(|at| &self.sent[at]) else { return };
-        let now = Instant::now();
-        let Some(stop) = self.stop_before(sent.slot, sent.at, now).filter(|s| *s <= sent.at) else {
-            return;
-        };
-        let (late, whole) = (sent.at > stop + EARLY_REQUEST_TIME, sent.cut.is_none());
-        let counts = &mut self.stop_counts;
-        counts.kept += u64::from(kept);
-        counts.kept_late += u64::from(kept && late);
-        counts.streams += u64::from(whole && sent.kind.is_stream() && !sent.refused);
-    }
-
     /// Records that the table service has acknowledged that a server leaves.
     pub fn record_leaving(&mut self, server: &str) {
         self.leaving.push((server.to_owned(), Instant::now()));
@@ -345,7 +297,7 @@
         !self.faults.iter().any(|(p, start, end)| p == part && overlaps(start, end))
     }
 
-    fn find(&self, id: &str) -> Option<usize> {
+    pub(crate) fn find(&self, id: &str) -> Option<usize> {
         self.sent.binary_search_by(|s| s.id.as_str().cmp(id)).ok()
     }
 
@@ -536,43 +488,6 @@
         self.sent[at].lost = Some(lost);
     }
 
-    /// Checks the answers that broke off, once all runs are known. A planned stop must not cut them.
-    pub fn check_cuts(&mut self) {
-        let details: Vec<String> = self.sent.iter().filter_map(|s| self.unexcused_cut(s)).collect();
-        details.iter().for_each(|detail| self.fail("nothing cut", detail));
-    }
-
-    /// Describes the cut of an answer, unless the request did not run, its server broke off, or its time was up.
-    fn unexcused_cut(&self, sent: &Sent) -> Option<String> {
-        let (cut, detail) = sent.cut.as_ref()?;
-        let parts = |s: &String| [Part::Server(s.to_owned()), Part::Turned(s.to_owned())];
-        let sound = |s: &String| parts(s).iter().all(|p| self.free_between(p, sent.at, *cut));
-        let in_time = *cut < sent.at + CALLER_TIMEOUT - DEADLINE_MARGIN;
-        if sent.servers.is_empty() || !sent.servers.iter().all(sound) || !in_time {
-            return None;
-        }
-        let after = (*cut - sent.at).as_millis();
-        let stop = self.stop_before(sent.slot, sent.at, *cut);
-        if let Some(stop) = stop
-            && *cut >= stop + LATE_WORK_TIME
-            // A busy machine slows down what the instance accepted late, too.
-            && (self.skip_timing || sent.at <= stop + EARLY_REQUEST_TIME)
-        {
-            return None;
-        }
-        let since = |time: Instant| stop.map(|s| time.saturating_duration_since(s).as_millis());
-        Some(format!(
-            "{} ({:?}, {} events) on instance {} at {:?} after {after} ms: {detail}; after SIGTERM, sent {:?} ms, cut {:?} ms",
-            sent.id,
-            sent.kind,
-            sent.events,
-            sent.slot,
-            sent.servers,
-            since(sent.at),
-            since(*cut)
-        ))
-    }
-
     fn count_status(&mut self, status: u16) {
         match self.answers.iter_mut().find(|(s, _)| *s == status) {
             Some((_, count)) => *count += 1,
--- a/agatestand/src/lib.rs
+++ b/agatestand/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod service;
 pub mod soak;
 pub mod spec;
+pub mod stops;
 pub mod synthetic;
 pub mod testbed;
 pub mod text;
--- a/agatestand/src/planned.rs
+++ b/agatestand/src/planned.rs
@@ -38,19 +38,6 @@
 /// Bounds of the time for which a server's streams are cut.
 const CUT_TIME_MS: (u64, u64) = (100, 1_500);
 
-/// Numbers of requests sent to instances after their SIGTERM.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StopCounts {
-    /// Requests sent while the instance was stopping.
-    pub sent: u64,
-    /// Those with an answer on a connection that had served a request before.
-    pub kept: u64,
-    /// Those of `kept` that were sent over [`EARLY_REQUEST_TIME`](crate::checker::EARLY_REQUEST_TIME) after the signal.
-    pub kept_late: u64,
-    /// Streams that a stopping instance answered whole.
-    pub streams: u64,
-}
-
 /// Kind of planned work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Work {
--- a/agatestand/src/soak.rs
+++ b/agatestand/src/soak.rs
@@ -18,8 +18,9 @@
 use crate::instance::Instance;
 use crate::load::client;
 use crate::needs::Needs;
-use crate::planned::{PlannedWork, StopCounts};
+use crate::planned::PlannedWork;
 use crate::resumed::StreamCounts;
+use crate::stops::StopCounts;
 use crate::testbed::Testbed;
 
 /// Interval at which faults that are due to end, instances and runs are checked.
