--- a/agatestand/src/callers.rs
+++ b/agatestand/src/callers.rs
@@ -3,21 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use agateroute_standin::{self as standin, engine_front};
-use bytes::Bytes;
-use http::{Request, header};
-use http_body_util::Full;
+use http::{HeaderValue, Request, header};
 use hyper_util::client::legacy::connect::HttpInfo;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio_util::sync::CancellationToken;
 
+use crate::bodies::{self, Body, Chunks, SoakClient};
 use crate::checker::{CALLER_TIMEOUT, Checker, Kind, MAX_EVENTS, Sent};
 use crate::instance::Answer;
-use crate::load::{LoadClient, client};
+use crate::load::{LoadClient, client, client_for};
 
 /// Time that a caller waits beyond its deadline, so that a late answer is still checked. Long enough
 /// for a busy machine.
@@ -43,6 +42,8 @@
 const MAX_OUTPUT_TOKENS: u64 = 8_000;
 /// Groups of callers. The first sends to a stopping instance at once, each further one later, as connections stay idle.
 const PATIENCE_GROUPS: u64 = 4;
+/// Stream of the generator of what was added to a caller, so that its other draws do not depend on that.
+const ADDED_STREAM: u64 = 4;
 /// Time between the first requests of two such groups. The last group starts with two seconds of the grace time left.
 const PATIENCE_STEP_MS: u64 = 1_800;
 
@@ -80,7 +81,9 @@
 /// Sends requests to ready instances until cancelled.
 pub async fn run_caller(state: SoakState, seed: u64, caller: u64, cancel: CancellationToken) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (caller + 1) << 32);
-    let client = client(false);
+    let mut added_rng = rng.clone();
+    added_rng.set_stream(ADDED_STREAM);
+    let client = client_for(false);
     let patience = Duration::from_millis(caller % PATIENCE_GROUPS * PATIENCE_STEP_MS);
     let (mut used, mut closed) = (Vec::new(), Vec::new());
     for number in 0.. {
@@ -109,8 +112,14 @@
         let mut sent = Sent::new(&id, kind, &key, &body, slot);
         let length = Length::draw(&mut rng);
         sent.events = length.events;
+        let chunks = Chunks::draw(&mut added_rng);
+        sent.unfinished = chunks.is_some();
         state.checker().record_request(sent);
-        let request = encode(&state.targets[slot].address, kind, &id, &key, body, length);
+        let address = &state.targets[slot].address;
+        let mut request = encode(address, kind, &id, &key, body.clone(), length);
+        if let Some(chunks) = chunks {
+            send_in_chunks(&state, &id, &mut request, (chunks, body));
+        }
         let time = give_up.map(Duration::from_millis);
         if !send_checked(&state, &client, &mut used, &id, request, time).await {
             closed.push(slot);
@@ -123,7 +132,7 @@
 /// have failed.
 async fn resume(
     state: &SoakState,
-    client: &LoadClient,
+    client: &SoakClient,
     rng: &mut ChaCha8Rng,
     (id, key): (&str, &str),
 ) {
@@ -230,7 +239,7 @@
     key: &str,
     body: String,
     length: Length,
-) -> Request<Full<Bytes>> {
+) -> Request<Body> {
     let path = match kind.is_stream() {
         true => engine_front::path_for(kind.path(), length.events),
         false => kind.path().to_owned(),
@@ -244,17 +253,32 @@
     if length.hint > 0 {
         builder = builder.header(engine_front::LENGTH_HINT_HEADER, length.hint.to_string());
     }
-    builder.body(Full::new(body.into())).expect("a request")
+    builder.body(bodies::with_length(body)).expect("a request")
+}
+
+/// Has a request sent in chunks.
+fn send_in_chunks(
+    state: &SoakState,
+    id: &str,
+    request: &mut Request<Body>,
+    (chunks, text): (Chunks, String),
+) {
+    if chunks.trailers {
+        request.headers_mut().insert(header::TRAILER, HeaderValue::from_name(bodies::TRAILER));
+    }
+    let (state, id) = (state.clone(), id.to_owned());
+    let ended = move || state.checker().record_body_end(&id, Instant::now());
+    *request.body_mut() = chunks.body(text, ended);
 }
 
 /// Sends a request and checks its answer, unless it is given up before. Returns whether the connection is still open, as
 /// far as the caller knows. `used` holds the caller's ends of connections that had an answer.
 async fn send_checked(
     state: &SoakState,
-    client: &LoadClient,
+    client: &SoakClient,
     used: &mut Vec<SocketAddr>,
     id: &str,
-    request: Request<Full<Bytes>>,
+    request: Request<Body>,
     give_up: Option<Duration>,
 ) -> bool {
     let answer = async {
@@ -288,7 +312,7 @@
 }
 
 /// Sends one call to an instance and returns whether it succeeded.
-pub async fn probe(state: &SoakState, client: &LoadClient, slot: usize, id: &str) -> bool {
+pub async fn probe(state: &SoakState, client: &SoakClient, slot: usize, id: &str) -> bool {
     let key = state.checker().keys[0].secret.clone();
     state.checker().record_request(Sent::new(id, Kind::Order, &key, id, slot));
     let request = encode(&state.targets[slot].address, Kind::Order, id, &key, id.to_owned(), CALL);
--- a/agatestand/src/checker.rs
+++ b/agatestand/src/checker.rs
@@ -99,6 +99,10 @@
     pub at: Instant,
     /// Index of the testbed slot whose instance got the request.
     pub slot: usize,
+    /// Whether the body is still being sent.
+    pub unfinished: bool,
+    /// When the last byte of the body was sent, if that was later than `at`.
+    pub(crate) ended: Option<Instant>,
     /// Whether the answer states that the request was not run.
     pub(crate) refused: bool,
     /// Description of the failure, if the connection ended without an answer and its instance had no
@@ -128,6 +132,8 @@
             body: body.to_owned(),
             at: Instant::now(),
             slot,
+            unfinished: false,
+            ended: None,
             refused: false,
             lost: None,
             runs: 0,
@@ -138,6 +144,11 @@
             received: None,
         }
     }
+
+    /// When the last byte of the request was sent.
+    pub(crate) fn ended_at(&self) -> Instant {
+        self.ended.unwrap_or(self.at)
+    }
 }
 
 /// Part of the testbed that a fault affects.
@@ -257,6 +268,13 @@
         self.sent.insert(at.unwrap_or_else(|free| free), sent);
     }
 
+    /// Records when the last byte of the body of a request was sent.
+    pub fn record_body_end(&mut self, id: &str, time: Instant) {
+        if let Some(at) = self.find(id) {
+            (self.sent[at].unfinished, self.sent[at].ended) = (false, Some(time));
+        }
+    }
+
     /// Records that a generation was stopped to continue on another server.
     pub fn record_move(&mut self, id: &str, server: &str) {
         if let Some(at) = self.find(id) {
@@ -479,10 +497,12 @@
         if !self.unplanned_free(sent.slot, sent.at) {
             return;
         }
-        let after = sent.at.elapsed();
+        // A request without its end can not have been read whole.
+        let after = sent.ended_at().elapsed();
+        let late = !sent.unfinished && !self.skip_timing && after > CLOSE_RACE_TIME;
         let lost =
             format!("{id} on instance {} after {} ms: {error}", sent.slot, after.as_millis());
-        if sent.runs > 0 || (!self.skip_timing && after > CLOSE_RACE_TIME) {
+        if sent.runs > 0 || late {
             self.fail("nothing lost", &lost);
         }
         self.sent[at].lost = Some(lost);
--- a/agatestand/src/lib.rs
+++ b/agatestand/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod baseline;
 pub mod batch;
+pub mod bodies;
 pub mod callers;
 pub mod cases;
 pub mod checker;
--- a/agatestand/src/load.rs
+++ b/agatestand/src/load.rs
@@ -7,7 +7,7 @@
 use futures_util::StreamExt;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -50,6 +50,15 @@
 
 /// Creates a client with its own connection pool, for HTTP/2 if `http2` is set, otherwise HTTP/1.1.
 pub fn client(http2: bool) -> LoadClient {
+    client_for(http2)
+}
+
+/// Like [`client`], for another type of body.
+pub fn client_for<B>(http2: bool) -> Client<HttpConnector, B>
+where
+    B: Body + Send,
+    B::Data: Send,
+{
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(Duration::from_secs(2)));
--- a/agatestand/src/soak.rs
+++ b/agatestand/src/soak.rs
@@ -16,7 +16,7 @@
 use crate::callers::{self, SoakState, run_caller};
 use crate::fault_plan::FaultPlan;
 use crate::instance::Instance;
-use crate::load::client;
+use crate::load::client_for;
 use crate::needs::Needs;
 use crate::planned::PlannedWork;
 use crate::resumed::StreamCounts;
@@ -185,7 +185,7 @@
 /// Waits until each instance serves [`PROBES_IN_A_ROW`] requests in a row. Records a violation if
 /// that takes longer than [`RECOVERY_TIMEOUT`].
 async fn wait_until_serving(testbed: &mut Testbed, state: &str) {
-    let client = client(false);
+    let client = client_for(false);
     let started = Instant::now();
     for slot in 0..testbed.slots.len() {
         let mut in_a_row = 0;
--- a/agatestand/tests/checker.rs
+++ b/agatestand/tests/checker.rs
@@ -238,6 +238,31 @@
     assert_eq!(violated(&checker), [""; 0], "the instance had a fault");
 }
 
+#[test]
+fn unanswered_after_late_bodies() {
+    let overdue = |unfinished| {
+        let mut checker = checker();
+        let mut sent = Sent::new("a", Kind::Order, "good", "body", 0);
+        (sent.at, sent.unfinished) = (ago(OVERDUE), unfinished);
+        checker.record_request(sent);
+        checker
+    };
+    let mut whole = overdue(false);
+    whole.check_unanswered("a", "closed");
+    assert_eq!(violated(&whole), ["nothing lost"], "it was sent whole long ago");
+    let mut unfinished = overdue(true);
+    unfinished.check_unanswered("a", "closed");
+    assert_eq!(violated(&unfinished), [""; 0], "its body had not ended");
+    unfinished.check_run("server", "ledger", &run("a", Kind::Order));
+    assert_eq!(violated(&unfinished), ["nothing lost"], "it ran");
+    for (end, violations) in [(Duration::ZERO, 0), (OVERDUE / 2, 1)] {
+        let mut ended = overdue(true);
+        ended.record_body_end("a", ago(end));
+        ended.check_unanswered("a", "closed");
+        assert_eq!(violated(&ended), vec!["nothing lost"; violations], "{end:?} after its end");
+    }
+}
+
 /// A stream that the instance of slot 0 cut just now. It had got SIGTERM and then the request, this long ago.
 fn cut_stream(stopped: Duration, sent: Duration) -> Checker {
     let mut checker = checker();
