Make servers of the soak slow around stops, and let callers wait for different times

The soak's servers answered at once, so an estimate of an answer's length was never far too short at a stopping instance (docs/incidents/lost-at-stop.md, first hypothesis), and all callers waited for 8 s, longer than a stopping instance serves. Servers now take 50 to 95 percent of the time that a caller waits, before the first event or before the whole answer, for one to eight seconds, and one instance is stopped meanwhile. Callers wait for 1.5, 3, 5 or 8 s. Both are drawn from generators of their own. Resumed streams are not counted while a server is slow: new streams may be at other servers. The rule for cuts takes the caller's own time. Evidence: tests of the checker in both directions.

--- a/agatestand/src/callers.rs
+++ b/agatestand/src/callers.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use agateroute_standin::server::EVENT_INTERVAL;
 use agateroute_standin::{self as standin, engine_front};
 use http::{HeaderValue, Request, header};
 use hyper_util::client::legacy::connect::HttpInfo;
@@ -30,6 +31,9 @@
 /// Attempts of a caller to resume a stream, and the longest pause before each.
 const MAX_RESUMES: u32 = 3;
 const MAX_RESUME_PAUSE_MS: u64 = 600;
+/// Times that callers wait, one of which is drawn per request. A stopping instance may still accept those that end before it
+/// does. For a stream that is longer than half of the drawn time, it is the longest.
+const DEADLINES_MS: [u64; 4] = [1_500, 3_000, 5_000, 8_000];
 /// Number of the newest keys, most of which are in force, that callers prefer.
 const RECENT_KEYS: usize = 3;
 /// Number of the newest keys from which callers pick; most of them are withdrawn.
@@ -112,11 +116,14 @@
         let mut sent = Sent::new(&id, kind, &key, &body, slot);
         let length = Length::draw(&mut rng);
         sent.events = length.events;
+        sent.deadline = draw_deadline(kind, length.events, &mut added_rng);
+        let deadline = HeaderValue::from(sent.deadline.as_millis() as u64);
         let chunks = Chunks::draw(&mut added_rng);
         sent.unfinished = chunks.is_some();
         state.checker().record_request(sent);
         let address = &state.targets[slot].address;
         let mut request = encode(address, kind, &id, &key, body.clone(), length);
+        request.headers_mut().insert(standin::DEADLINE_HEADER, deadline);
         if let Some(chunks) = chunks {
             send_in_chunks(&state, &id, &mut request, (chunks, body));
         }
@@ -219,6 +226,16 @@
     }
 }
 
+/// Draws the time that a caller waits.
+fn draw_deadline(kind: Kind, events: u64, rng: &mut ChaCha8Rng) -> Duration {
+    let drawn = DEADLINES_MS[rng.random_range(0..DEADLINES_MS.len())];
+    let stream = events * EVENT_INTERVAL.as_millis() as u64;
+    match !kind.is_stream() || drawn >= stream * 2 {
+        true => Duration::from_millis(drawn),
+        false => CALLER_TIMEOUT,
+    }
+}
+
 /// Picks a key that is in force or was withdrawn recently, since callers learn of changes late.
 fn pick_key(state: &SoakState, rng: &mut ChaCha8Rng) -> String {
     let checker = state.checker();
--- a/agatestand/src/checker.rs
+++ b/agatestand/src/checker.rs
@@ -19,7 +19,7 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time without faults after which the rules with time limits apply to an instance.
 const FAULT_FREE_TIME: Duration = Duration::from_millis(3_000);
-/// Time that callers wait for an answer, which they send with their requests.
+/// Longest time that callers wait for an answer. They send that time with their requests.
 pub const CALLER_TIMEOUT: Duration = Duration::from_millis(8_000);
 /// Time from sending a request within which its connection may turn out to be closing. The
 /// requirement is 0.2 s from the last byte of the connection; the rest is for a busy machine.
@@ -99,6 +99,8 @@
     pub at: Instant,
     /// Index of the testbed slot whose instance got the request.
     pub slot: usize,
+    /// Time that its caller waits.
+    pub deadline: Duration,
     /// Whether the body is still being sent.
     pub unfinished: bool,
     /// When the last byte of the body was sent, if that was later than `at`.
@@ -132,6 +134,7 @@
             body: body.to_owned(),
             at: Instant::now(),
             slot,
+            deadline: CALLER_TIMEOUT,
             unfinished: false,
             ended: None,
             refused: false,
@@ -168,6 +171,8 @@
     Server(String),
     /// Backend server of this name, which turns requests away, also those of generations that it stopped.
     Turned(String),
+    /// Backend server of this name, whose answers are late.
+    Slow(String),
 }
 
 /// State of the checks: requests, faults and violations.
@@ -223,6 +228,7 @@
     fn count_stream(&mut self, sent: &Sent, answer: &Answer) {
         let touched = !self.slot_fault_free(sent.slot, sent.at)
             || !self.fault_free(&Part::Store, sent.at)
+            || self.any_slow(sent.at)
             || self.stop_before(sent.slot, sent.at, Instant::now()).is_some();
         let few = sent.resumes.as_ref().is_some_and(|r| !self.has_two_servers(&r.version));
         if sent.kind != Kind::Quote {
@@ -315,6 +321,12 @@
         !self.faults.iter().any(|(p, start, end)| p == part && overlaps(start, end))
     }
 
+    /// Whether the answers of any server were late at any time since then.
+    fn any_slow(&self, since: Instant) -> bool {
+        let slow = |part: &Part| matches!(part, Part::Slow(_));
+        self.faults.iter().any(|(p, _, end)| slow(p) && end.is_none_or(|e| e > since))
+    }
+
     pub(crate) fn find(&self, id: &str) -> Option<usize> {
         self.sent.binary_search_by(|s| s.id.as_str().cmp(id)).ok()
     }
--- a/agatestand/src/fault_plan.rs
+++ b/agatestand/src/fault_plan.rs
@@ -77,6 +77,8 @@
     Server(usize),
     /// End the need of a server.
     Need(usize),
+    /// End the slowness of a server.
+    Slow(usize),
     /// End the silence of a server, unless another fault of its link has come.
     Silence(usize),
     /// Let the instance of a slot reach the servers again.
@@ -537,6 +539,7 @@
                 testbed.shared.checker().record_fault_end(Part::Server(name));
             }
             Undo::Need(backend) => testbed.end_need(backend),
+            Undo::Slow(backend) => testbed.end_slowness(backend),
             Undo::Silence(backend) => {
                 if !self.has_server_fault(backend) {
                     testbed.backends[backend].link.set(Faults::default());
@@ -557,6 +560,7 @@
         reuse: bool,
     ) -> Result<(), String> {
         let (service, name, link) = {
+            testbed.end_slowness(backend);
             let old = &testbed.backends[backend];
             testbed.shared.checker().record_fault_start(Part::Server(old.server.name.clone()));
             old.server.crash();
--- a/agatestand/src/planned.rs
+++ b/agatestand/src/planned.rs
@@ -1,10 +1,12 @@
 //! Planned work and cut events that a soak adds to its other faults: stops in series and overlapping, kills of
-//! stopping instances, changed settings, versions in quick succession, and streams cut inside an event.
+//! stopping instances, changed settings, versions in quick succession, streams cut inside an event, and stops while servers
+//! are slow.
 //!
-//! They are drawn from a generator of their own, so the draws of all other faults do not depend on them.
+//! They are drawn from generators of their own, so the draws of all other faults do not depend on them.
 
 use std::time::{Duration, Instant};
 
+use agateroute_standin::Slowness;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,6 +18,18 @@
 
 /// Stream of the generator. The other faults use the ones before.
 const PLANNED_STREAM: u64 = 2;
+/// Stream of the generator that draws slow stops. Callers use the one before.
+const SLOW_STREAM: u64 = 5;
+/// One of this many injections of other faults is followed by a slow stop.
+const SLOW_SHARE: u32 = 6;
+/// Time from one slow stop to the next.
+const SLOW_INTERVAL: Duration = Duration::from_secs(4);
+/// Bounds of the time until an answer of a slow server, in percent of the time that its caller waits.
+const SLOW_PERCENT: (u32, u32) = (50, 95);
+/// Bounds of the time for which servers are slow.
+const SLOW_TIME_MS: (u64, u64) = (1_000, 8_000);
+/// Upper bound for the time from the first slow answer to SIGTERM.
+const MAX_STOP_DELAY_MS: u64 = 1_000;
 /// One of this many injections of other faults is followed by planned work.
 const PLANNED_SHARE: u32 = 3;
 /// Time from one series of stops to the next, in which instances of the first one are back.
@@ -55,20 +69,28 @@
 #[derive(Debug)]
 pub struct PlannedWork {
     rng: ChaCha8Rng,
+    slow_rng: ChaCha8Rng,
     /// When the next series of stops may begin.
     next_series: Instant,
+    /// When the next slow stop may begin.
+    next_slow: Instant,
 }
 
 impl PlannedWork {
     /// Creates the generator of a seed.
     pub fn new(seed: u64) -> PlannedWork {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        rng.set_stream(PLANNED_STREAM);
-        PlannedWork { rng, next_series: Instant::now() }
+        let stream = |number| {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            rng.set_stream(number);
+            rng
+        };
+        let (rng, slow_rng) = (stream(PLANNED_STREAM), stream(SLOW_STREAM));
+        PlannedWork { rng, slow_rng, next_series: Instant::now(), next_slow: Instant::now() }
     }
 
     /// Injects planned work, or nothing. It is called once for each injected fault.
     pub fn inject(&mut self, plan: &mut FaultPlan, testbed: &mut Testbed) {
+        self.inject_slow_stop(plan, testbed);
         if !self.rng.random_ratio(1, PLANNED_SHARE) {
             return;
         }
@@ -81,6 +103,30 @@
         }
     }
 
+    /// Makes one or all servers slow, so that estimates of a length are wrong, and stops an instance meanwhile.
+    fn inject_slow_stop(&mut self, plan: &mut FaultPlan, testbed: &mut Testbed) {
+        let rng = &mut self.slow_rng;
+        let drawn = rng.random_ratio(1, SLOW_SHARE);
+        if !drawn || Instant::now() < self.next_slow {
+            return;
+        }
+        self.next_slow = Instant::now() + SLOW_INTERVAL;
+        plan.count_fault("stop while servers are slow");
+        let (slots, backends) = (testbed.slots.len(), testbed.backends.len());
+        let only = rng.random::<bool>().then(|| rng.random_range(0..backends));
+        let time = Duration::from_millis(rng.random_range(SLOW_TIME_MS.0..SLOW_TIME_MS.1));
+        for backend in (0..backends).filter(|b| only.is_none_or(|o| o == *b)) {
+            let percent = rng.random_range(SLOW_PERCENT.0..=SLOW_PERCENT.1);
+            let slowness = Slowness { percent, head_first: rng.random() };
+            let server = &testbed.backends[backend].server;
+            testbed.shared.checker().record_fault_start(Part::Slow(server.name.clone()));
+            server.set_slowness(Some(slowness));
+            plan.schedule_undo(time, Undo::Slow(backend));
+        }
+        let after = Duration::from_millis(rng.random_range(0..MAX_STOP_DELAY_MS));
+        plan.schedule_undo(after, Undo::Stop(rng.random_range(0..slots)));
+    }
+
     fn time(&mut self, bound_ms: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(0..bound_ms))
     }
--- a/agatestand/src/stops.rs
+++ b/agatestand/src/stops.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::checker::{CALLER_TIMEOUT, Checker, Part, Sent};
+use crate::checker::{Checker, Part, Sent};
 
 /// Time from SIGTERM after which a server that is still at work excuses a cut: all but the last sixth of the grace time.
 const LATE_WORK_TIME: Duration = Duration::from_millis(6_667);
@@ -77,7 +77,7 @@
         let (cut, detail) = sent.cut.as_ref()?;
         let parts = |s: &String| [Part::Server(s.to_owned()), Part::Turned(s.to_owned())];
         let sound = |s: &String| parts(s).iter().all(|p| self.free_between(p, sent.at, *cut));
-        let in_time = *cut < sent.at + CALLER_TIMEOUT - DEADLINE_MARGIN;
+        let in_time = *cut < sent.at + sent.deadline - DEADLINE_MARGIN;
         if sent.servers.is_empty() || !sent.servers.iter().all(sound) || !in_time {
             return None;
         }
--- a/agatestand/src/testbed.rs
+++ b/agatestand/src/testbed.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::callers::{SoakState, Target};
-use crate::checker::{Key, MAX_EVENTS, REVOKE_TIMEOUT};
+use crate::checker::{Key, MAX_EVENTS, Part, REVOKE_TIMEOUT};
 use crate::fault::{FaultProxy, Faults};
 use crate::instance::{Instance, Launch};
 use crate::soak::Options;
@@ -209,6 +209,13 @@
         checker.record_need_end(&server.name);
     }
 
+    /// Ends the slowness of a server.
+    pub fn end_slowness(&self, backend: usize) {
+        let server = &self.backends[backend].server;
+        server.set_slowness(None);
+        self.shared.checker().record_fault_end(Part::Slow(server.name.clone()));
+    }
+
     /// Publishes a version with a new key. It keeps the two newest keys and withdraws older ones.
     pub fn publish(&mut self) {
         self.version += 1;
--- a/agatestand/tests/checker.rs
+++ b/agatestand/tests/checker.rs
@@ -325,6 +325,12 @@
     moved.record_move("a", "other");
     assert_eq!(break_off(moved), [""; 0], "the destination of a move broke off");
     assert_eq!(break_off(cut_stream(2 * second, 8 * second)), [""; 0], "the deadline");
+    let mut own = checker();
+    let mut request = Sent::new("a", Kind::Draft, "good", "body", 0);
+    (request.at, request.deadline) = (ago(2 * second), 2 * second);
+    own.record_request(request);
+    own.check_run("writer", "writers", &run("a", Kind::Draft));
+    assert_eq!(break_off(own), [""; 0], "its own deadline");
     let mut killed = cut_stream(2 * second, second);
     killed.record_fault_start(Part::Process(0));
     assert_eq!(break_off(killed), [""; 0], "the instance was killed");
@@ -424,7 +430,18 @@
 
 #[test]
 fn resumed_streams_refused() {
-    let mut checker = checker();
+    assert_eq!(violated(&refuse_resumed(checker())), ["resumed streams go on"]);
+    let mut slow = checker();
+    slow.record_fault_start(Part::Slow("s-1".to_owned()));
+    assert_eq!(violated(&refuse_resumed(slow)), [""; 0], "a server was slow");
+    let mut sound = checker();
+    sound.record_fault_start(Part::Slow("s-1".to_owned()));
+    sound.record_fault_end(Part::Slow("s-1".to_owned()));
+    assert_eq!(violated(&refuse_resumed(sound)), ["resumed streams go on"], "no longer");
+}
+
+/// Serves new streams and refuses resumed ones.
+fn refuse_resumed(mut checker: Checker) -> Checker {
     for name in ["s-1", "s-2"] {
         checker.record_server(name, "v1");
     }
@@ -440,5 +457,5 @@
         checker.check_answer(&again, &refusal);
     }
     checker.check_resumed();
-    assert_eq!(violated(&checker), ["resumed streams go on"]);
+    checker
 }
