Check failures of requests that came after SIGTERM, and send refused ones again

The soak took an answer of 502 or 504 for an answer. A request whose last byte came after SIGTERM, which ran and is answered so, is now reported as lost, unless its deadline was reached or a fault excuses it, as for cuts. Callers send what a stopping instance refused again, at another instance, after Retry-After or a third of the time left, as clients do. StopCounts tells how many first tries were answered whole, were refused, and how many of these were answered whole on their next try. Retries are left out of the counts of first attempts (needs.rs). Evidence: failed_by_stop, failed_for_other_reasons, tries_at_stopping_instances.

--- a/agatestand/src/callers.rs
+++ b/agatestand/src/callers.rs
@@ -131,10 +131,42 @@
         if !send_checked(&state, &client, &mut used, &id, request, time).await {
             closed.push(slot);
         }
+        retry(&state, &client, &mut added_rng, (&id, &key, length)).await;
         resume(&state, &client, &mut rng, (&id, &key)).await;
     }
 }
 
+/// Sends a request that a stopping instance refused again, to another instance that a load balancer offers, after the time
+/// that the refusal names or a third of the time that is left.
+async fn retry(
+    state: &SoakState,
+    client: &SoakClient,
+    rng: &mut ChaCha8Rng,
+    (id, key, length): (&str, &str, Length),
+) {
+    let Some(first) = state.checker().refused_at_stop(id) else { return };
+    let left = |pause| first.deadline.saturating_sub(first.at.elapsed() + pause);
+    let pause = first.retry_after.unwrap_or_default().min(left(Duration::ZERO) / 3);
+    let deadline = left(pause);
+    tokio::time::sleep(pause).await;
+    let (mut ready, _) = open_slots(state, Duration::ZERO, &mut Vec::new());
+    ready.retain(|slot| *slot != first.slot);
+    if ready.is_empty() {
+        return;
+    }
+    let slot = ready[rng.random_range(0..ready.len())];
+    let again = format!("{id}-again");
+    let mut sent = Sent::new(&again, first.kind, key, &again, slot);
+    (sent.events, sent.deadline, sent.is_retry) = (first.events, deadline, true);
+    state.checker().record_request(sent);
+    let address = &state.targets[slot].address;
+    let mut request = encode(address, first.kind, &again, key, again.clone(), length);
+    let waits = HeaderValue::from(deadline.as_millis() as u64);
+    request.headers_mut().insert(standin::DEADLINE_HEADER, waits);
+    send_checked(state, client, &mut Vec::new(), &again, request, None).await;
+    state.checker().count_retry(&again);
+}
+
 /// Takes up a stream that broke off again, at instances that a load balancer offers, until it is complete or a few attempts
 /// have failed.
 async fn resume(
--- a/agatestand/src/checker.rs
+++ b/agatestand/src/checker.rs
@@ -118,6 +118,14 @@
     pub(crate) servers: Vec<String>,
     /// When its answer broke off, if it did, and how much of it there was.
     pub(crate) cut: Option<(Instant, String)>,
+    /// When it was answered with a failure that promises nothing, if it was, and the status.
+    pub(crate) failed: Option<(Instant, u16)>,
+    /// How long its caller is to wait before it sends a refused request again.
+    pub(crate) retry_after: Option<Duration>,
+    /// Whether it was answered whole.
+    pub(crate) served: bool,
+    /// Whether it is sent again after a refusal.
+    pub is_retry: bool,
     /// What its caller had of the stream when it sent the request; `None` for a new one.
     pub resumes: Option<Received>,
     /// What its caller has of the stream since it broke off.
@@ -143,6 +151,10 @@
             events: if kind.is_stream() { MAX_EVENTS } else { 0 },
             servers: Vec::new(),
             cut: None,
+            failed: None,
+            retry_after: None,
+            served: false,
+            is_retry: false,
             resumes: None,
             received: None,
         }
@@ -414,11 +426,15 @@
     pub fn check_answer(&mut self, id: &str, answer: &Answer) {
         self.count_status(answer.status.as_u16());
         let Some(at) = self.find(id) else { return };
+        let excused = !self.unplanned_free(self.sent[at].slot, self.sent[at].at);
+        let (now, status, entry) = (Instant::now(), answer.status, &mut self.sent[at]);
+        entry.served = status.is_success() && answer.complete;
         if !answer.complete {
-            let excused = !self.unplanned_free(self.sent[at].slot, self.sent[at].at);
-            let (status, bytes) = (answer.status.as_u16(), answer.body.len());
-            let detail = format!("status {status}, {bytes} bytes");
-            self.sent[at].cut = (!excused).then(|| (Instant::now(), detail));
+            let detail = format!("status {}, {} bytes", status.as_u16(), answer.body.len());
+            entry.cut = (!excused).then_some((now, detail));
+        }
+        if matches!(status, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) {
+            entry.failed = (!excused).then_some((now, status.as_u16()));
         }
         let sent = self.sent[at].clone();
         self.record_attempt(&sent, answer);
@@ -431,6 +447,9 @@
         match answer.status {
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
                 self.sent[at].refused = true;
+                let seconds = answer.field("retry-after").parse().ok();
+                self.sent[at].retry_after =
+                    seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
                 if sent.runs > 0 && sent.kind.is_non_repeatable() {
                     self.fail("not run means not run", &format!("{id} was refused but has run"));
                 }
--- a/agatestand/src/needs.rs
+++ b/agatestand/src/needs.rs
@@ -208,7 +208,8 @@
     /// Records a first attempt. One that was refused for its key says nothing.
     pub(crate) fn record_attempt(&mut self, sent: &Sent, answer: &Answer) {
         let served = answer.status.is_success() && answer.complete;
-        if answer.status != StatusCode::UNAUTHORIZED && sent.resumes.is_none() {
+        let first = sent.resumes.is_none() && !sent.is_retry;
+        if answer.status != StatusCode::UNAUTHORIZED && first {
             self.needs.attempts.push((sent.slot, sent.at, served));
         }
     }
--- a/agatestand/src/soak.rs
+++ b/agatestand/src/soak.rs
@@ -102,6 +102,7 @@
     tasks.join_all().await;
     testbed.check_runs();
     testbed.shared.checker().check_cuts();
+    testbed.shared.checker().check_failures();
     testbed.shared.checker().check_resumed();
     testbed.shared.checker().check_needs();
     let logs = testbed.slots.iter().filter_map(|s| s.instance.as_ref()).flat_map(Instance::lines);
--- a/agatestand/src/stops.rs
+++ b/agatestand/src/stops.rs
@@ -12,6 +12,9 @@
 /// needs to send a final answer, with room for a busy machine.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time within which a process hears of a signal.
+const SIGNAL_TIME: Duration = Duration::from_millis(200);
+
 /// Numbers of requests sent to instances after their SIGTERM.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StopCounts {
@@ -23,6 +26,14 @@
     pub kept_late: u64,
     /// Streams that a stopping instance answered whole.
     pub streams: u64,
+    /// Requests that a stopping instance answered whole, streams among them.
+    pub whole: u64,
+    /// Requests that a stopping instance refused as not run.
+    pub refused: u64,
+    /// Those of `refused` that were sent again, to another instance.
+    pub retried: u64,
+    /// Those of `retried` that were answered whole then.
+    pub retry_whole: u64,
 }
 
 impl Checker {
@@ -60,10 +71,68 @@
             return;
         };
         let (late, whole) = (sent.at > stop + EARLY_REQUEST_TIME, sent.cut.is_none());
+        let (served, refused) = (sent.served, sent.refused);
         let counts = &mut self.stop_counts;
         counts.kept += u64::from(kept);
         counts.kept_late += u64::from(kept && late);
         counts.streams += u64::from(whole && sent.kind.is_stream() && !sent.refused);
+        counts.whole += u64::from(served);
+        counts.refused += u64::from(refused);
+    }
+
+    /// Returns a request that a stopping instance refused as not run.
+    pub fn refused_at_stop(&self, id: &str) -> Option<Sent> {
+        let sent = &self.sent[self.find(id)?];
+        let stop = self.stop_before(sent.slot, sent.at, Instant::now())?;
+        (sent.refused && stop <= sent.at).then(|| sent.clone())
+    }
+
+    /// Counts a request that was refused by a stopping instance and was sent again.
+    pub fn count_retry(&mut self, id: &str) {
+        let whole = self.find(id).is_some_and(|at| self.sent[at].served);
+        self.stop_counts.retried += 1;
+        self.stop_counts.retry_whole += u64::from(whole);
+    }
+
+    /// Checks the failures that promise nothing, once all runs are known. What a process accepts after SIGTERM is due before
+    /// its end, so the stop is no reason for one.
+    pub fn check_failures(&mut self) {
+        let lost: Vec<String> =
+            self.sent.iter().filter_map(|s| self.unexcused_failure(s)).collect();
+        lost.iter().for_each(|detail| self.fail("nothing lost", detail));
+    }
+
+    /// Describes the failure of a request that was sent after SIGTERM, unless it did not run, its server broke off, or its time
+    /// was up.
+    fn unexcused_failure(&self, sent: &Sent) -> Option<String> {
+        let (end, status) = sent.failed?;
+        let read = sent.ended_at();
+        let stop = self.stop_before(sent.slot, read, end).filter(|stop| *stop <= read)?;
+        // The process may hear of the signal later, on a busy machine much later.
+        let unaware = if self.skip_timing { EARLY_REQUEST_TIME } else { SIGNAL_TIME };
+        let late_work = end >= stop + LATE_WORK_TIME && read <= stop + unaware;
+        if late_work || self.has_excuse(sent, end) {
+            return None;
+        }
+        let since = |time: Instant| time.saturating_duration_since(stop).as_millis();
+        Some(format!(
+            "{} ({:?}, {} ms) on instance {} ran at {:?}, status {status}; after SIGTERM, sent {} ms, failed {} ms",
+            sent.id,
+            sent.kind,
+            sent.deadline.as_millis(),
+            sent.slot,
+            sent.servers,
+            since(read),
+            since(end)
+        ))
+    }
+
+    /// Whether a request did not run, a server of it broke off before the end, or its time was up.
+    fn has_excuse(&self, sent: &Sent, end: Instant) -> bool {
+        let parts = |s: &String| [Part::Server(s.to_owned()), Part::Turned(s.to_owned())];
+        let sound = |s: &String| parts(s).iter().all(|p| self.free_between(p, sent.at, end));
+        let in_time = end < sent.at + sent.deadline - DEADLINE_MARGIN;
+        sent.servers.is_empty() || !sent.servers.iter().all(sound) || !in_time
     }
 
     /// Checks the answers that broke off, once all runs are known. A planned stop must not cut them.
@@ -75,10 +144,7 @@
     /// Describes the cut of an answer, unless the request did not run, its server broke off, or its time was up.
     fn unexcused_cut(&self, sent: &Sent) -> Option<String> {
         let (cut, detail) = sent.cut.as_ref()?;
-        let parts = |s: &String| [Part::Server(s.to_owned()), Part::Turned(s.to_owned())];
-        let sound = |s: &String| parts(s).iter().all(|p| self.free_between(p, sent.at, *cut));
-        let in_time = *cut < sent.at + sent.deadline - DEADLINE_MARGIN;
-        if sent.servers.is_empty() || !sent.servers.iter().all(sound) || !in_time {
+        if self.has_excuse(sent, *cut) {
             return None;
         }
         let after = (*cut - sent.at).as_millis();
--- a/agatestand/tests/checker.rs
+++ b/agatestand/tests/checker.rs
@@ -346,6 +346,113 @@
     assert_eq!(break_off(not_run), [""; 0], "it did not run");
 }
 
+/// A call that ran at the instance of slot 0 and is answered 504 now, with SIGTERM, its head and its last byte so long ago.
+fn failed_call(stopped: Duration, sent: Duration, ended: Duration) -> Checker {
+    let mut checker = checker();
+    checker.record_stop(0, ago(stopped));
+    let mut request = Sent::new("a", Kind::Order, "good", "body", 0);
+    request.at = ago(sent);
+    checker.record_request(request);
+    checker.record_body_end("a", ago(ended));
+    checker.check_run("server", "ledger", &run("a", Kind::Order));
+    checker
+}
+
+/// Answers the call of [`failed_call`] and returns the violated rules.
+fn fail(mut checker: Checker, status: StatusCode) -> Vec<String> {
+    checker.check_answer("a", &answer("a", status, ""));
+    checker.check_failures();
+    violated(&checker).into_iter().map(str::to_owned).collect()
+}
+
+#[test]
+fn failed_by_stop() {
+    let second = Duration::from_secs(1);
+    let fail_504 = |checker| fail(checker, StatusCode::GATEWAY_TIMEOUT);
+    let call = |stopped, sent, ended| failed_call(second * stopped, second * sent, second * ended);
+    for status in [StatusCode::GATEWAY_TIMEOUT, StatusCode::BAD_GATEWAY] {
+        assert_eq!(fail(call(7, 4, 4), status), ["nothing lost"], "{status}");
+    }
+    assert_eq!(fail_504(call(7, 6, 6)), ["nothing lost"], "sent early");
+    assert_eq!(fail_504(call(3, 2, 2)), ["nothing lost"], "long before the end");
+    assert_eq!(fail_504(call(5, 6, 4)), ["nothing lost"], "only its head came before");
+    assert_eq!(fail_504(call(4, 6, 5)), [""; 0], "it was read before");
+    assert_eq!(fail_504(call(7, 7, 7)), [""; 0], "it came with the signal");
+    assert_eq!(
+        fail_504(call(3, 3, 3)),
+        ["nothing lost"],
+        "it came with the signal, far from the end"
+    );
+    let mut lenient = call(7, 5, 5);
+    lenient.skip_timing = true;
+    assert_eq!(fail_504(lenient), [""; 0], "a busy machine may bring the signal late");
+    let mut lenient = call(7, 3, 3);
+    lenient.skip_timing = true;
+    assert_eq!(fail_504(lenient), ["nothing lost"], "but not so late");
+    let mut ended = call(7, 4, 4);
+    ended.record_stop_end(0);
+    assert_eq!(fail_504(ended), ["nothing lost"], "the process has ended since");
+}
+
+#[test]
+fn failed_for_other_reasons() {
+    let second = Duration::from_secs(1);
+    let call = || failed_call(second * 7, second * 4, second * 4);
+    let fail_504 = |checker| fail(checker, StatusCode::GATEWAY_TIMEOUT);
+    let with = |part: Part| {
+        let mut checker = call();
+        checker.record_fault_start(part);
+        checker
+    };
+    assert_eq!(fail_504(with(Part::Server("server".to_owned()))), [""; 0], "its server failed");
+    assert_eq!(fail_504(with(Part::Server("other".to_owned()))), ["nothing lost"]);
+    assert_eq!(fail_504(with(Part::Slow("server".to_owned()))), ["nothing lost"], "only slow");
+    assert_eq!(fail_504(with(Part::Process(0))), [""; 0], "the instance was killed");
+    assert_eq!(fail_504(with(Part::Process(1))), ["nothing lost"], "another was killed");
+    assert_eq!(fail_504(with(Part::Overdue(0))), ["nothing lost"], "it stopped too slowly");
+    let late = failed_call(second * 9, second * 8, second * 8);
+    assert_eq!(fail_504(late), [""; 0], "its deadline");
+    let mut not_run = checker();
+    not_run.record_stop(0, ago(second));
+    send(&mut not_run, "a", Kind::Order, "good");
+    assert_eq!(fail_504(not_run), [""; 0], "it did not run");
+}
+
+#[test]
+fn tries_at_stopping_instances() {
+    let mut checker = checker();
+    send(&mut checker, "before", Kind::Order, "good");
+    checker.record_stop(0, Instant::now());
+    for id in ["whole", "refused", "failed"] {
+        send(&mut checker, id, Kind::Order, "good");
+    }
+    let mut again = Sent::new("again", Kind::Order, "good", "body", 1);
+    again.is_retry = true;
+    checker.record_request(again);
+    let refusal = |id| {
+        let mut refusal = answer(id, StatusCode::SERVICE_UNAVAILABLE, "");
+        refusal.headers.insert(header::RETRY_AFTER, "0.05".parse().expect("a value"));
+        refusal
+    };
+    let served = |id| answer(id, StatusCode::OK, &standin::response_body(id));
+    checker.check_answer("before", &refusal("before"));
+    checker.check_answer("whole", &served("whole"));
+    checker.check_answer("refused", &refusal("refused"));
+    checker.check_answer("failed", &answer("failed", StatusCode::GATEWAY_TIMEOUT, ""));
+    let refused = |id| checker.refused_at_stop(id).is_some();
+    let all = ["before", "whole", "refused", "failed"].map(refused);
+    assert_eq!(all, [false, false, true, false], "what is sent again");
+    for id in ["before", "whole", "refused", "failed"] {
+        checker.count_stopping(id, false);
+    }
+    checker.check_answer("again", &served("again"));
+    checker.count_retry("again");
+    let counts = checker.stop_counts;
+    assert_eq!((counts.sent, counts.whole, counts.refused), (3, 1, 1));
+    assert_eq!((counts.retried, counts.retry_whole), (1, 1));
+    assert_eq!(violated(&checker), [""; 0]);
+}
+
 #[test]
 fn lost_by_overdue_kill() {
     let mut checker = checker();
