Send SIGHUP beside SIGTERM, and SIGTERM a second time, in the soak

No soak sent a stopping instance another signal (docs/incidents/lost-at-stop.md names no cause yet, and both are stages at which a stop may lose an answer).

--- a/agatestand/src/bodies.rs
+++ b/agatestand/src/bodies.rs
@@ -26,7 +26,7 @@
 const MAX_CHUNKS: usize = 4;
 /// Upper bounds for the time from the head to the end of a body, one of which is drawn per body: one write, several in a row,
 /// and so long that SIGTERM may come before the end.
-const MAX_TIMES_MS: [u64; 3] = [0, 40, 3_000];
+const MAX_TIMES_MS: [u64; 4] = [0, 0, 40, 3_000];
 /// One body in this many waits with its last chunk only.
 const LATE_END_ONE_IN: u32 = 3;
 /// One body in chunks of this many has trailers.
--- a/agatestand/src/fault.rs
+++ b/agatestand/src/fault.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -105,6 +107,18 @@
         self.faults.send_if_modified(|current| std::mem::replace(current, faults) != faults);
     }
 
+    /// Sets a fault that is drawn at random.
+    pub fn set_drawn_fault(&self, rng: &mut ChaCha8Rng) {
+        let delay = Duration::from_millis(rng.random_range(1..300));
+        match rng.random_range(0..5) {
+            0 => self.set(Faults { delay, ..Faults::default() }),
+            1 => self.set(Faults { cut: true, ..Faults::default() }),
+            2 => self.set(Faults { hold_requests: true, ..Faults::default() }),
+            3 => self.set(Faults { hold_answers: true, ..Faults::default() }),
+            _ => self.cut_once(),
+        }
+    }
+
     /// Closes all existing connections and accepts new ones.
     pub fn cut_once(&self) {
         let current = *self.faults.borrow();
--- a/agatestand/src/fault_plan.rs
+++ b/agatestand/src/fault_plan.rs
@@ -11,7 +11,8 @@
 use rustix::process::Signal;
 
 use crate::checker::{GRACE_TIME, Part};
-use crate::fault::{FaultProxy, Faults};
+use crate::fault::Faults;
+use crate::instance::Instance;
 use crate::testbed::{Testbed, UNUSED_ADDRESS};
 
 /// Upper bounds for the duration of faults, one of which is drawn per soak. The last is longer than
@@ -77,6 +78,8 @@
     Server(usize),
     /// End the need of a server.
     Need(usize),
+    /// Send SIGTERM to a slot once more.
+    Terminate(usize),
     /// End the slowness of a server.
     Slow(usize),
     /// End the silence of a server, unless another fault of its link has come.
@@ -370,7 +373,7 @@
         testbed.shared.checker().record_fault_start(Part::Links(slot));
         let entry = &testbed.slots[slot];
         let links = [&entry.caller_link, &entry.table_link, &entry.peer_link];
-        set_link_fault(links[rng.random_range(0..links.len())], rng);
+        links[rng.random_range(0..links.len())].set_drawn_fault(rng);
         self.schedule_undo(time, Undo::Link(slot));
     }
 
@@ -416,7 +419,7 @@
             3 => server.set_behaviour(Behaviour::Fails),
             4 => server.set_behaviour(Behaviour::Hangs),
             5 => server.cut_streams(),
-            _ => set_link_fault(&testbed.backends[backend].link, rng),
+            _ => testbed.backends[backend].link.set_drawn_fault(rng),
         }
         self.schedule_undo(time, Undo::Server(backend));
     }
@@ -508,6 +511,11 @@
                     self.schedule_undo(away, Undo::Start(slot));
                 }
             }
+            Undo::Terminate(slot) if self.is_stopping(slot) => {
+                self.count_fault("second SIGTERM");
+                testbed.slots[slot].instance.iter().for_each(Instance::terminate);
+            }
+            Undo::Terminate(_) => {}
             Undo::Reload(slot, revoke_ms) => testbed.reload(slot, revoke_ms),
             Undo::Publish => testbed.publish(),
             Undo::Link(slot) => {
@@ -585,14 +593,3 @@
     testbed.set_reach(slot, Faults::default());
     testbed.shared.checker().record_reach(slot);
 }
-
-fn set_link_fault(link: &FaultProxy, rng: &mut ChaCha8Rng) {
-    let delay = Duration::from_millis(rng.random_range(1..300));
-    match rng.random_range(0..5) {
-        0 => link.set(Faults { delay, ..Faults::default() }),
-        1 => link.set(Faults { cut: true, ..Faults::default() }),
-        2 => link.set(Faults { hold_requests: true, ..Faults::default() }),
-        3 => link.set(Faults { hold_answers: true, ..Faults::default() }),
-        _ => link.cut_once(),
-    }
-}
--- a/agatestand/src/planned.rs
+++ b/agatestand/src/planned.rs
@@ -1,6 +1,6 @@
 //! Planned work and cut events that a soak adds to its other faults: stops in series and overlapping, kills of
 //! stopping instances, changed settings, versions in quick succession, streams cut inside an event, and stops while servers
-//! are slow.
+//! are slow, with SIGHUP beside them and a second SIGTERM.
 //!
 //! They are drawn from generators of their own, so the draws of all other faults do not depend on them.
 
@@ -23,11 +23,11 @@
 /// One of this many injections of other faults is followed by a slow stop.
 const SLOW_SHARE: u32 = 6;
 /// Time from one slow stop to the next.
-const SLOW_INTERVAL: Duration = Duration::from_secs(4);
+const SLOW_INTERVAL: Duration = Duration::from_secs(6);
 /// Bounds of the time until an answer of a slow server, in percent of the time that its caller waits.
 const SLOW_PERCENT: (u32, u32) = (50, 95);
 /// Bounds of the time for which servers are slow.
-const SLOW_TIME_MS: (u64, u64) = (1_000, 8_000);
+const SLOW_TIME_MS: (u64, u64) = (1_000, 4_000);
 /// Upper bound for the time from the first slow answer to SIGTERM.
 const MAX_STOP_DELAY_MS: u64 = 1_000;
 /// One of this many injections of other faults is followed by planned work.
@@ -103,7 +103,8 @@
         }
     }
 
-    /// Makes one or all servers slow, so that estimates of a length are wrong, and stops an instance meanwhile.
+    /// Makes one or all servers slow, so that estimates of a length are wrong, and stops an instance meanwhile: with SIGHUP shortly
+    /// before or after, with a second SIGTERM, or with both.
     fn inject_slow_stop(&mut self, plan: &mut FaultPlan, testbed: &mut Testbed) {
         let rng = &mut self.slow_rng;
         let drawn = rng.random_ratio(1, SLOW_SHARE);
@@ -124,7 +125,18 @@
             plan.schedule_undo(time, Undo::Slow(backend));
         }
         let after = Duration::from_millis(rng.random_range(0..MAX_STOP_DELAY_MS));
-        plan.schedule_undo(after, Undo::Stop(rng.random_range(0..slots)));
+        let slot = rng.random_range(0..slots);
+        plan.schedule_undo(after, Undo::Stop(slot));
+        if rng.random() {
+            plan.count_fault("settings beside a stop");
+            let around = Duration::from_millis(rng.random_range(0..MAX_STOP_DELAY_MS));
+            let revoke_ms = *REVOKE_MS.choose(rng).expect("a time");
+            plan.schedule_undo((after + around) / 2, Undo::Reload(slot, revoke_ms));
+        }
+        if rng.random() {
+            let again = Duration::from_millis(rng.random_range(0..MAX_KILL_DELAY_MS));
+            plan.schedule_undo(after + again, Undo::Terminate(slot));
+        }
     }
 
     fn time(&mut self, bound_ms: u64) -> Duration {
