Count that a server leaves from its first answer that says so, in the soak

A fault of the soak: a server that leaves by its answers only was taken as leaving from the first request that it got then, as docs/TESTING.md does not say. Now the stand-in says whether an answer has said so. The rule for later requests is the same.

--- a/agatestand/src/needs.rs
+++ b/agatestand/src/needs.rs
@@ -190,7 +190,11 @@
         if let Some(slot) = self.slot_of(&arrival.id) {
             self.needs.arrivals.push((server.to_owned(), arrival.clone(), slot));
         }
-        if arrival.leaves && !self.leaving.iter().any(|(name, _)| name == server) {
+    }
+
+    /// Records that an answer of a server has said that it leaves.
+    pub fn record_said_leaving(&mut self, server: &str) {
+        if !self.leaving.iter().any(|(name, _)| name == server) {
             self.record_leaving(server);
         }
     }
--- a/agatestand/src/testbed.rs
+++ b/agatestand/src/testbed.rs
@@ -292,6 +292,9 @@
         for arrival in backend.server.take_arrivals() {
             self.shared.checker().record_arrival(&backend.server.name, &arrival);
         }
+        if backend.server.has_said_leaving() {
+            self.shared.checker().record_said_leaving(&backend.server.name);
+        }
         for run in backend.server.take_runs() {
             self.shared.checker().check_run(&backend.server.name, &backend.server.service, &run);
         }
