--- a/agatestand/src/checker.rs
+++ b/agatestand/src/checker.rs
@@ -8,8 +8,8 @@
 
 use crate::instance::Answer;
 use crate::needs::NeedLog;
-use crate::planned::StopCounts;
 use crate::resumed::{self, Received, StreamCounts};
+use crate::stops::StopCounts;
 
 /// Maximum time for which a withdrawn key may still be served, as in the instances' settings.
 pub const REVOKE_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -19,7 +19,7 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time without faults after which the rules with time limits apply to an instance.
 const FAULT_FREE_TIME: Duration = Duration::from_millis(3_000);
-/// Time that callers wait for an answer, which they send with their requests.
+/// Longest time that callers wait for an answer. They send that time with their requests.
 pub const CALLER_TIMEOUT: Duration = Duration::from_millis(8_000);
 /// Time from sending a request within which its connection may turn out to be closing. The
 /// requirement is 0.2 s from the last byte of the connection; the rest is for a busy machine.
@@ -30,14 +30,6 @@
 pub const MAX_EVENTS: u64 = 340;
 /// Time from SIGTERM to the kill, as in the instances' settings.
 pub const GRACE_TIME: Duration = Duration::from_millis(8_000);
-/// Time from SIGTERM after which a server that is still at work excuses a cut: all but the last sixth of the grace time.
-const LATE_WORK_TIME: Duration = Duration::from_millis(6_667);
-/// Time from SIGTERM until which a request may be sent for that excuse.
-pub const EARLY_REQUEST_TIME: Duration = Duration::from_millis(3_000);
-/// Time by which an answer may end before its caller's deadline and count as ended by it: the time that the program
-/// needs to send a final answer, with room for a busy machine.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(200);
-
 /// Kind of request of a soak, one for each route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -70,7 +62,7 @@
         matches!(self, Kind::Draft | Kind::Quote)
     }
 
-    fn is_non_repeatable(self) -> bool {
+    pub(crate) fn is_non_repeatable(self) -> bool {
         matches!(self, Kind::Order | Kind::Draft)
     }
 
@@ -107,8 +99,14 @@
     pub at: Instant,
     /// Index of the testbed slot whose instance got the request.
     pub slot: usize,
+    /// Time that its caller waits.
+    pub deadline: Duration,
+    /// Whether the body is still being sent.
+    pub unfinished: bool,
+    /// When the last byte of the body was sent, if that was later than `at`.
+    pub(crate) ended: Option<Instant>,
     /// Whether the answer states that the request was not run.
-    refused: bool,
+    pub(crate) refused: bool,
     /// Description of the failure, if the connection ended without an answer and its instance had no
     /// fault.
     lost: Option<String>,
@@ -117,9 +115,17 @@
     /// Number of events of the whole stream; 0 for a plain call.
     pub events: u64,
     /// Names of the servers that ran it, or to which it moved.
-    servers: Vec<String>,
+    pub(crate) servers: Vec<String>,
     /// When its answer broke off, if it did, and how much of it there was.
-    cut: Option<(Instant, String)>,
+    pub(crate) cut: Option<(Instant, String)>,
+    /// When it was answered with a failure that promises nothing, if it was, and the status.
+    pub(crate) failed: Option<(Instant, u16)>,
+    /// How long its caller is to wait before it sends a refused request again.
+    pub(crate) retry_after: Option<Duration>,
+    /// Whether it was answered whole.
+    pub(crate) served: bool,
+    /// Whether it is sent again after a refusal.
+    pub is_retry: bool,
     /// What its caller had of the stream when it sent the request; `None` for a new one.
     pub resumes: Option<Received>,
     /// What its caller has of the stream since it broke off.
@@ -136,16 +142,28 @@
             body: body.to_owned(),
             at: Instant::now(),
             slot,
+            deadline: CALLER_TIMEOUT,
+            unfinished: false,
+            ended: None,
             refused: false,
             lost: None,
             runs: 0,
             events: if kind.is_stream() { MAX_EVENTS } else { 0 },
             servers: Vec::new(),
             cut: None,
+            failed: None,
+            retry_after: None,
+            served: false,
+            is_retry: false,
             resumes: None,
             received: None,
         }
     }
+
+    /// When the last byte of the request was sent.
+    pub(crate) fn ended_at(&self) -> Instant {
+        self.ended.unwrap_or(self.at)
+    }
 }
 
 /// Part of the testbed that a fault affects.
@@ -165,6 +183,8 @@
     Server(String),
     /// Backend server of this name, which turns requests away, also those of generations that it stopped.
     Turned(String),
+    /// Backend server of this name, whose answers are late.
+    Slow(String),
 }
 
 /// State of the checks: requests, faults and violations.
@@ -178,13 +198,13 @@
     pub skip_timing: bool,
     /// Number of answers by status; 0 stands for no answer.
     pub answers: Vec<(u16, u64)>,
-    sent: Vec<Sent>,
+    pub(crate) sent: Vec<Sent>,
     /// Faults with their start, and their end if they have ended.
     pub(crate) faults: Vec<(Part, Instant, Option<Instant>)>,
     /// Names of leaving servers, with the time at which they were recorded.
     pub(crate) leaving: Vec<(String, Instant)>,
     /// Slots whose instance got SIGTERM, when, and when its process had ended.
-    stops: Vec<(usize, Instant, Option<Instant>)>,
+    pub(crate) stops: Vec<(usize, Instant, Option<Instant>)>,
     /// Requests sent to stopping instances.
     pub stop_counts: StopCounts,
     /// Streams that callers began and resumed.
@@ -220,6 +240,7 @@
     fn count_stream(&mut self, sent: &Sent, answer: &Answer) {
         let touched = !self.slot_fault_free(sent.slot, sent.at)
             || !self.fault_free(&Part::Store, sent.at)
+            || self.any_slow(sent.at)
             || self.stop_before(sent.slot, sent.at, Instant::now()).is_some();
         let few = sent.resumes.as_ref().is_some_and(|r| !self.has_two_servers(&r.version));
         if sent.kind != Kind::Quote {
@@ -253,46 +274,6 @@
         running.for_each(|(_, _, end)| *end = Some(Instant::now()));
     }
 
-    /// Records when the instance of a slot got SIGTERM, at the latest.
-    pub fn record_stop(&mut self, slot: usize, at: Instant) {
-        self.stops.push((slot, at, None));
-    }
-
-    /// Records that the process of a slot has ended.
-    pub fn record_stop_end(&mut self, slot: usize) {
-        let running = self.stops.iter_mut().filter(|(s, _, end)| *s == slot && end.is_none());
-        running.for_each(|(_, _, end)| *end = Some(Instant::now()));
-    }
-
-    /// Returns the time since SIGTERM of the instance of a slot, if it is stopping.
-    pub fn stopping_for(&self, slot: usize) -> Option<Duration> {
-        let stop = self.stops.iter().find(|(s, _, end)| *s == slot && end.is_none());
-        stop.map(|(_, at, _)| at.elapsed())
-    }
-
-    /// Returns the SIGTERM of the process that a request reached at a time, if it had got one by then.
-    pub(crate) fn stop_before(&self, slot: usize, sent: Instant, time: Instant) -> Option<Instant> {
-        let reached = |(s, at, end): &&(usize, Instant, Option<Instant>)| {
-            *s == slot && *at <= time && end.is_none_or(|e| e >= sent)
-        };
-        self.stops.iter().find(reached).map(|(_, at, _)| *at)
-    }
-
-    /// Counts a request to a stopping instance that got an answer. `kept` says whether its connection had served a
-    /// request before.
-    pub fn count_stopping(&mut self, id: &str, kept: bool) {
-        let Some(sent) = self.find(id).map(|at| &self.sent[at]) else { return };
-        let now = Instant::now();
-        let Some(stop) = self.stop_before(sent.slot, sent.at, now).filter(|s| *s <= sent.at) else {
-            return;
-        };
-        let (late, whole) = (sent.at > stop + EARLY_REQUEST_TIME, sent.cut.is_none());
-        let counts = &mut self.stop_counts;
-        counts.kept += u64::from(kept);
-        counts.kept_late += u64::from(kept && late);
-        counts.streams += u64::from(whole && sent.kind.is_stream() && !sent.refused);
-    }
-
     /// Records that the table service has acknowledged that a server leaves.
     pub fn record_leaving(&mut self, server: &str) {
         self.leaving.push((server.to_owned(), Instant::now()));
@@ -305,6 +286,13 @@
         self.sent.insert(at.unwrap_or_else(|free| free), sent);
     }
 
+    /// Records when the last byte of the body of a request was sent.
+    pub fn record_body_end(&mut self, id: &str, time: Instant) {
+        if let Some(at) = self.find(id) {
+            (self.sent[at].unfinished, self.sent[at].ended) = (false, Some(time));
+        }
+    }
+
     /// Records that a generation was stopped to continue on another server.
     pub fn record_move(&mut self, id: &str, server: &str) {
         if let Some(at) = self.find(id) {
@@ -345,7 +333,13 @@
         !self.faults.iter().any(|(p, start, end)| p == part && overlaps(start, end))
     }
 
-    fn find(&self, id: &str) -> Option<usize> {
+    /// Whether the answers of any server were late at any time since then.
+    fn any_slow(&self, since: Instant) -> bool {
+        let slow = |part: &Part| matches!(part, Part::Slow(_));
+        self.faults.iter().any(|(p, _, end)| slow(p) && end.is_none_or(|e| e > since))
+    }
+
+    pub(crate) fn find(&self, id: &str) -> Option<usize> {
         self.sent.binary_search_by(|s| s.id.as_str().cmp(id)).ok()
     }
 
@@ -432,11 +426,15 @@
     pub fn check_answer(&mut self, id: &str, answer: &Answer) {
         self.count_status(answer.status.as_u16());
         let Some(at) = self.find(id) else { return };
+        let excused = !self.unplanned_free(self.sent[at].slot, self.sent[at].at);
+        let (now, status, entry) = (Instant::now(), answer.status, &mut self.sent[at]);
+        entry.served = status.is_success() && answer.complete;
         if !answer.complete {
-            let excused = !self.unplanned_free(self.sent[at].slot, self.sent[at].at);
-            let (status, bytes) = (answer.status.as_u16(), answer.body.len());
-            let detail = format!("status {status}, {bytes} bytes");
-            self.sent[at].cut = (!excused).then(|| (Instant::now(), detail));
+            let detail = format!("status {}, {} bytes", status.as_u16(), answer.body.len());
+            entry.cut = (!excused).then_some((now, detail));
+        }
+        if matches!(status, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) {
+            entry.failed = (!excused).then_some((now, status.as_u16()));
         }
         let sent = self.sent[at].clone();
         self.record_attempt(&sent, answer);
@@ -449,6 +447,9 @@
         match answer.status {
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
                 self.sent[at].refused = true;
+                let seconds = answer.field("retry-after").parse().ok();
+                self.sent[at].retry_after =
+                    seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
                 if sent.runs > 0 && sent.kind.is_non_repeatable() {
                     self.fail("not run means not run", &format!("{id} was refused but has run"));
                 }
@@ -527,52 +528,17 @@
         if !self.unplanned_free(sent.slot, sent.at) {
             return;
         }
-        let after = sent.at.elapsed();
+        // A request without its end can not have been read whole.
+        let after = sent.ended_at().elapsed();
+        let late = !sent.unfinished && !self.skip_timing && after > CLOSE_RACE_TIME;
         let lost =
             format!("{id} on instance {} after {} ms: {error}", sent.slot, after.as_millis());
-        if sent.runs > 0 || (!self.skip_timing && after > CLOSE_RACE_TIME) {
+        if sent.runs > 0 || late {
             self.fail("nothing lost", &lost);
         }
         self.sent[at].lost = Some(lost);
     }
 
-    /// Checks the answers that broke off, once all runs are known. A planned stop must not cut them.
-    pub fn check_cuts(&mut self) {
-        let details: Vec<String> = self.sent.iter().filter_map(|s| self.unexcused_cut(s)).collect();
-        details.iter().for_each(|detail| self.fail("nothing cut", detail));
-    }
-
-    /// Describes the cut of an answer, unless the request did not run, its server broke off, or its time was up.
-    fn unexcused_cut(&self, sent: &Sent) -> Option<String> {
-        let (cut, detail) = sent.cut.as_ref()?;
-        let parts = |s: &String| [Part::Server(s.to_owned()), Part::Turned(s.to_owned())];
-        let sound = |s: &String| parts(s).iter().all(|p| self.free_between(p, sent.at, *cut));
-        let in_time = *cut < sent.at + CALLER_TIMEOUT - DEADLINE_MARGIN;
-        if sent.servers.is_empty() || !sent.servers.iter().all(sound) || !in_time {
-            return None;
-        }
-        let after = (*cut - sent.at).as_millis();
-        let stop = self.stop_before(sent.slot, sent.at, *cut);
-        if let Some(stop) = stop
-            && *cut >= stop + LATE_WORK_TIME
-            // A busy machine slows down what the instance accepted late, too.
-            && (self.skip_timing || sent.at <= stop + EARLY_REQUEST_TIME)
-        {
-            return None;
-        }
-        let since = |time: Instant| stop.map(|s| time.saturating_duration_since(s).as_millis());
-        Some(format!(
-            "{} ({:?}, {} events) on instance {} at {:?} after {after} ms: {detail}; after SIGTERM, sent {:?} ms, cut {:?} ms",
-            sent.id,
-            sent.kind,
-            sent.events,
-            sent.slot,
-            sent.servers,
-            since(sent.at),
-            since(*cut)
-        ))
-    }
-
     fn count_status(&mut self, status: u16) {
         match self.answers.iter_mut().find(|(s, _)| *s == status) {
             Some((_, count)) => *count += 1,
--- a/agatestand/src/lib.rs
+++ b/agatestand/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod baseline;
 pub mod batch;
+pub mod bodies;
 pub mod callers;
 pub mod cases;
 pub mod checker;
@@ -25,6 +26,7 @@
 pub mod service;
 pub mod soak;
 pub mod spec;
+pub mod stops;
 pub mod synthetic;
 pub mod testbed;
 pub mod text;
--- a/agatestand/src/needs.rs
+++ b/agatestand/src/needs.rs
@@ -190,7 +190,11 @@
         if let Some(slot) = self.slot_of(&arrival.id) {
             self.needs.arrivals.push((server.to_owned(), arrival.clone(), slot));
         }
-        if arrival.leaves && !self.leaving.iter().any(|(name, _)| name == server) {
+    }
+
+    /// Records that an answer of a server has said that it leaves.
+    pub fn record_said_leaving(&mut self, server: &str) {
+        if !self.leaving.iter().any(|(name, _)| name == server) {
             self.record_leaving(server);
         }
     }
@@ -208,7 +212,8 @@
     /// Records a first attempt. One that was refused for its key says nothing.
     pub(crate) fn record_attempt(&mut self, sent: &Sent, answer: &Answer) {
         let served = answer.status.is_success() && answer.complete;
-        if answer.status != StatusCode::UNAUTHORIZED && sent.resumes.is_none() {
+        let first = sent.resumes.is_none() && !sent.is_retry;
+        if answer.status != StatusCode::UNAUTHORIZED && first {
             self.needs.attempts.push((sent.slot, sent.at, served));
         }
     }
--- a/agatestand/src/soak.rs
+++ b/agatestand/src/soak.rs
@@ -16,10 +16,11 @@
 use crate::callers::{self, SoakState, run_caller};
 use crate::fault_plan::FaultPlan;
 use crate::instance::Instance;
-use crate::load::client;
+use crate::load::client_for;
 use crate::needs::Needs;
-use crate::planned::{PlannedWork, StopCounts};
+use crate::planned::PlannedWork;
 use crate::resumed::StreamCounts;
+use crate::stops::StopCounts;
 use crate::testbed::Testbed;
 
 /// Interval at which faults that are due to end, instances and runs are checked.
@@ -101,6 +102,7 @@
     tasks.join_all().await;
     testbed.check_runs();
     testbed.shared.checker().check_cuts();
+    testbed.shared.checker().check_failures();
     testbed.shared.checker().check_resumed();
     testbed.shared.checker().check_needs();
     let logs = testbed.slots.iter().filter_map(|s| s.instance.as_ref()).flat_map(Instance::lines);
@@ -184,7 +186,7 @@
 /// Waits until each instance serves [`PROBES_IN_A_ROW`] requests in a row. Records a violation if
 /// that takes longer than [`RECOVERY_TIMEOUT`].
 async fn wait_until_serving(testbed: &mut Testbed, state: &str) {
-    let client = client(false);
+    let client = client_for(false);
     let started = Instant::now();
     for slot in 0..testbed.slots.len() {
         let mut in_a_row = 0;
--- a/agatestand/tests/checker.rs
+++ b/agatestand/tests/checker.rs
@@ -201,6 +201,18 @@
     assert_eq!(violated(&checker), [""; 0]);
 }
 
+#[test]
+fn runs_after_leaving_answer() {
+    let mut checker = checker();
+    send(&mut checker, "a", Kind::Stock, "good");
+    let late = Run { at: Instant::now() + OVERDUE, ..run("a", Kind::Stock) };
+    checker.check_run("server", "ledger", &late);
+    assert_eq!(violated(&checker), [""; 0], "no answer has said that it leaves");
+    checker.record_said_leaving("server");
+    checker.check_run("server", "ledger", &late);
+    assert_eq!(violated(&checker), ["leaving servers"]);
+}
+
 #[test]
 fn skipped_timing() {
     let mut checker = checker();
@@ -238,6 +250,31 @@
     assert_eq!(violated(&checker), [""; 0], "the instance had a fault");
 }
 
+#[test]
+fn unanswered_after_late_bodies() {
+    let overdue = |unfinished| {
+        let mut checker = checker();
+        let mut sent = Sent::new("a", Kind::Order, "good", "body", 0);
+        (sent.at, sent.unfinished) = (ago(OVERDUE), unfinished);
+        checker.record_request(sent);
+        checker
+    };
+    let mut whole = overdue(false);
+    whole.check_unanswered("a", "closed");
+    assert_eq!(violated(&whole), ["nothing lost"], "it was sent whole long ago");
+    let mut unfinished = overdue(true);
+    unfinished.check_unanswered("a", "closed");
+    assert_eq!(violated(&unfinished), [""; 0], "its body had not ended");
+    unfinished.check_run("server", "ledger", &run("a", Kind::Order));
+    assert_eq!(violated(&unfinished), ["nothing lost"], "it ran");
+    for (end, violations) in [(Duration::ZERO, 0), (OVERDUE / 2, 1)] {
+        let mut ended = overdue(true);
+        ended.record_body_end("a", ago(end));
+        ended.check_unanswered("a", "closed");
+        assert_eq!(violated(&ended), vec!["nothing lost"; violations], "{end:?} after its end");
+    }
+}
+
 /// A stream that the instance of slot 0 cut just now. It had got SIGTERM and then the request, this long ago.
 fn cut_stream(stopped: Duration, sent: Duration) -> Checker {
     let mut checker = checker();
@@ -261,9 +298,9 @@
 fn cut_by_stop() {
     let second = Duration::from_secs(1);
     assert_eq!(break_off(cut_stream(2 * second, second)), ["nothing cut"]);
-    // The grace time is almost over, and the request came early.
-    assert_eq!(break_off(cut_stream(7 * second, 5 * second)), [""; 0]);
+    // The grace time is almost over, and the request came with the signal.
     assert_eq!(break_off(cut_stream(7 * second, 7 * second)), [""; 0]);
+    assert_eq!(break_off(cut_stream(7 * second, 5 * second)), ["nothing cut"], "accepted after it");
     assert_eq!(break_off(cut_stream(6 * second, 5 * second)), ["nothing cut"], "too soon");
     assert_eq!(break_off(cut_stream(7 * second, 3 * second)), ["nothing cut"], "accepted late");
     let mut lenient = cut_stream(7 * second, 3 * second);
@@ -300,6 +337,12 @@
     moved.record_move("a", "other");
     assert_eq!(break_off(moved), [""; 0], "the destination of a move broke off");
     assert_eq!(break_off(cut_stream(2 * second, 8 * second)), [""; 0], "the deadline");
+    let mut own = checker();
+    let mut request = Sent::new("a", Kind::Draft, "good", "body", 0);
+    (request.at, request.deadline) = (ago(2 * second), 2 * second);
+    own.record_request(request);
+    own.check_run("writer", "writers", &run("a", Kind::Draft));
+    assert_eq!(break_off(own), [""; 0], "its own deadline");
     let mut killed = cut_stream(2 * second, second);
     killed.record_fault_start(Part::Process(0));
     assert_eq!(break_off(killed), [""; 0], "the instance was killed");
@@ -315,6 +358,132 @@
     assert_eq!(break_off(not_run), [""; 0], "it did not run");
 }
 
+/// A call that may not run twice. It ran at the instance of slot 0 and is answered 504 now, with SIGTERM, its head and its last byte so long ago.
+fn failed_call(stopped: Duration, sent: Duration, ended: Duration) -> Checker {
+    failed_kind(Kind::Order, (stopped, sent, ended))
+}
+
+/// Like [`failed_call`], for another kind of call.
+fn failed_kind(kind: Kind, (stopped, sent, ended): (Duration, Duration, Duration)) -> Checker {
+    let mut checker = checker();
+    checker.record_stop(0, ago(stopped));
+    let mut request = Sent::new("a", kind, "good", "body", 0);
+    request.at = ago(sent);
+    checker.record_request(request);
+    checker.record_body_end("a", ago(ended));
+    checker.check_run("server", "ledger", &run("a", kind));
+    checker
+}
+
+/// Answers the call of [`failed_call`] and returns the violated rules.
+fn fail(mut checker: Checker, status: StatusCode) -> Vec<String> {
+    checker.check_answer("a", &answer("a", status, ""));
+    checker.check_failures();
+    violated(&checker).into_iter().map(str::to_owned).collect()
+}
+
+#[test]
+fn failed_by_stop() {
+    // Seconds since SIGTERM, the head and the last byte, whether the machine is busy, and whether the failure is reported.
+    let cases = [
+        ((7, 4, 4), false, true, "sent late"),
+        ((7, 6, 6), false, true, "sent early"),
+        ((3, 2, 2), false, true, "long before the end"),
+        ((5, 6, 4), false, true, "only its head came before"),
+        ((4, 6, 5), false, false, "it was read before"),
+        ((7, 7, 7), false, false, "it came with the signal"),
+        ((3, 3, 3), false, true, "it came with the signal, far from the end"),
+        ((7, 5, 5), true, false, "a busy machine may bring the signal late"),
+        ((7, 3, 3), true, true, "but not so late"),
+    ];
+    for ((stopped, sent, ended), busy, reported, case) in cases {
+        for status in [StatusCode::GATEWAY_TIMEOUT, StatusCode::BAD_GATEWAY] {
+            let [stopped, sent, ended] = [stopped, sent, ended].map(Duration::from_secs);
+            let mut checker = failed_call(stopped, sent, ended);
+            checker.skip_timing = busy;
+            // The process has ended since.
+            checker.record_stop_end(0);
+            assert_eq!(fail(checker, status), vec!["nothing lost"; reported.into()], "{case}");
+        }
+    }
+}
+
+#[test]
+fn failed_attempts_on_busy_machine() {
+    let second = Duration::from_secs(1);
+    let (failed, late) = (StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT);
+    let cases = [
+        (Kind::Stock, failed, false, 1),
+        (Kind::Stock, failed, true, 0),
+        (Kind::Stock, late, true, 1),
+        (Kind::Order, failed, true, 1),
+    ];
+    for (kind, status, skip_timing, violations) in cases {
+        let mut checker = failed_kind(kind, (second * 7, second * 2, second * 2));
+        checker.skip_timing = skip_timing;
+        assert_eq!(fail(checker, status), vec!["nothing lost"; violations], "{kind:?} {status}");
+    }
+}
+
+#[test]
+fn failed_for_other_reasons() {
+    let second = Duration::from_secs(1);
+    let call = || failed_call(second * 7, second * 4, second * 4);
+    let fail_504 = |checker| fail(checker, StatusCode::GATEWAY_TIMEOUT);
+    let with = |part: Part| {
+        let mut checker = call();
+        checker.record_fault_start(part);
+        checker
+    };
+    assert_eq!(fail_504(with(Part::Server("server".to_owned()))), [""; 0], "its server failed");
+    assert_eq!(fail_504(with(Part::Server("other".to_owned()))), ["nothing lost"]);
+    assert_eq!(fail_504(with(Part::Slow("server".to_owned()))), ["nothing lost"], "only slow");
+    assert_eq!(fail_504(with(Part::Process(0))), [""; 0], "the instance was killed");
+    assert_eq!(fail_504(with(Part::Process(1))), ["nothing lost"], "another was killed");
+    assert_eq!(fail_504(with(Part::Overdue(0))), ["nothing lost"], "it stopped too slowly");
+    let late = failed_call(second * 9, second * 8, second * 8);
+    assert_eq!(fail_504(late), [""; 0], "its deadline");
+    let mut not_run = checker();
+    not_run.record_stop(0, ago(second));
+    send(&mut not_run, "a", Kind::Order, "good");
+    assert_eq!(fail_504(not_run), [""; 0], "it did not run");
+}
+
+#[test]
+fn tries_at_stopping_instances() {
+    let mut checker = checker();
+    send(&mut checker, "before", Kind::Order, "good");
+    checker.record_stop(0, Instant::now());
+    for id in ["whole", "refused", "failed"] {
+        send(&mut checker, id, Kind::Order, "good");
+    }
+    let mut again = Sent::new("again", Kind::Order, "good", "body", 1);
+    again.is_retry = true;
+    checker.record_request(again);
+    let refusal = |id| {
+        let mut refusal = answer(id, StatusCode::SERVICE_UNAVAILABLE, "");
+        refusal.headers.insert(header::RETRY_AFTER, "0.05".parse().expect("a value"));
+        refusal
+    };
+    let served = |id| answer(id, StatusCode::OK, &standin::response_body(id));
+    checker.check_answer("before", &refusal("before"));
+    checker.check_answer("whole", &served("whole"));
+    checker.check_answer("refused", &refusal("refused"));
+    checker.check_answer("failed", &answer("failed", StatusCode::GATEWAY_TIMEOUT, ""));
+    let refused = |id| checker.refused_at_stop(id).is_some();
+    let all = ["before", "whole", "refused", "failed"].map(refused);
+    assert_eq!(all, [false, false, true, false], "what is sent again");
+    for id in ["before", "whole", "refused", "failed"] {
+        checker.count_stopping(id, false);
+    }
+    checker.check_answer("again", &served("again"));
+    checker.count_retry("again");
+    let counts = checker.stop_counts;
+    assert_eq!((counts.sent, counts.whole, counts.refused), (3, 1, 1));
+    assert_eq!((counts.retried, counts.retry_whole), (1, 1));
+    assert_eq!(violated(&checker), [""; 0]);
+}
+
 #[test]
 fn lost_by_overdue_kill() {
     let mut checker = checker();
@@ -399,7 +568,18 @@
 
 #[test]
 fn resumed_streams_refused() {
-    let mut checker = checker();
+    assert_eq!(violated(&refuse_resumed(checker())), ["resumed streams go on"]);
+    let mut slow = checker();
+    slow.record_fault_start(Part::Slow("s-1".to_owned()));
+    assert_eq!(violated(&refuse_resumed(slow)), [""; 0], "a server was slow");
+    let mut sound = checker();
+    sound.record_fault_start(Part::Slow("s-1".to_owned()));
+    sound.record_fault_end(Part::Slow("s-1".to_owned()));
+    assert_eq!(violated(&refuse_resumed(sound)), ["resumed streams go on"], "no longer");
+}
+
+/// Serves new streams and refuses resumed ones.
+fn refuse_resumed(mut checker: Checker) -> Checker {
     for name in ["s-1", "s-2"] {
         checker.record_server(name, "v1");
     }
@@ -415,5 +595,5 @@
         checker.check_answer(&again, &refusal);
     }
     checker.check_resumed();
-    assert_eq!(violated(&checker), ["resumed streams go on"]);
+    checker
 }
