Read a closed connection on only after an answer that came before the end of a body

A request that crossed the close of an idle connection was read and discarded in the second after it: its caller got neither an answer nor the reset by which it knows that nothing was read, and may send an unsafe request again (a second reviewer read this in the code). Cause: the reading on was there for refusals of bodies, and was done at each close. Now only if the last body was not read to its end.

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -109,6 +109,8 @@
     ends_answer: AtomicBool,
     /// Whether a request has arrived.
     used: AtomicBool,
+    /// Whether the body of the last request was not read to its end.
+    unread: AtomicBool,
     /// Counts the bytes of a head that is not complete.
     head: Mutex<Option<BodyReader>>,
     /// The id of the last request, and why the connection ended, for the log.
@@ -138,6 +140,7 @@
             state: Mutex::new((ConnectionState::Idle(None), Instant::now())),
             ends_answer: AtomicBool::new(false),
             used: AtomicBool::new(false),
+            unread: AtomicBool::new(false),
             head: Mutex::default(),
             last: Mutex::default(),
             unfinished: Mutex::default(),
@@ -322,8 +325,9 @@
     activity.request_started(request.headers().get(instance.deployment.callers.id_header));
     instance.busy_requests.fetch_add(1, Ordering::AcqRel);
     let has_chunks = request.version() > Version::HTTP_10;
+    activity.unread.store(!request.body().is_end_stream(), Ordering::Release);
     let guard = BusyGuard { instance: instance.clone(), activity, is_complete: false };
-    let response = serve::handle(instance, request).await;
+    let response = serve::handle(instance, request, &guard.activity.unread).await;
     let ends_answer = !has_chunks && response.body().size_hint().exact().is_none();
     guard.activity.ends_answer.store(ends_answer, Ordering::Release);
     guard.activity.answer_began();
@@ -404,8 +408,8 @@
         }
     }
 
-    /// Reads and discards what a caller still sends, until it has closed the connection too. Closing the socket before would
-    /// reset the connection, and the caller might lose the answer.
+    /// Reads and discards the rest of a body that was answered before its end, until the caller has closed the connection
+    /// too. Closing the socket before would reset the connection, and the caller might lose the answer.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let (until, left) = self
             .linger
@@ -473,7 +477,8 @@
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         }
-        if !self.resets {
+        // A request that crosses the end is left unread, so that its caller may send it again.
+        if !self.resets && self.activity.unread.load(Ordering::Acquire) {
             ready!(self.poll_linger(cx));
         }
         Poll::Ready(Ok(()))
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -5,6 +5,7 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use agateroute_config::organisation::Organisation;
@@ -96,20 +97,25 @@
     }
 }
 
-/// Serves one request. Errors are turned into responses, so the caller always gets an answer.
-pub async fn handle(instance: Arc<RouteInstance>, request: Request<Incoming>) -> Response<BoxBody> {
+/// Serves one request. Errors are turned into responses, so the caller always gets an answer. Clears `unread` once the
+/// body is read.
+pub async fn handle(
+    instance: Arc<RouteInstance>,
+    request: Request<Incoming>,
+    unread: &AtomicBool,
+) -> Response<BoxBody> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let id = (instance.deployment.callers.decode)(&head.headers).id;
     let id: Arc<str> = id.unwrap_or("-").into();
-    let answer = serve(&instance, head, body, &id, arrived).await;
-    let mut unread = false;
+    let answer = serve(&instance, (head, body), &id, arrived, unread).await;
+    let mut closes = false;
     let mut response = answer.unwrap_or_else(|e| {
         log_refusal(&instance, &e, &id, arrived);
-        unread = UNREAD_CODES.contains(&e.code);
+        closes = UNREAD_CODES.contains(&e.code);
         error_response(&instance, &e, &id)
     });
-    if unread || instance.daemon.leaving() {
+    if closes || instance.daemon.leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -146,10 +152,10 @@
 
 async fn serve(
     instance: &Arc<RouteInstance>,
-    head: request::Parts,
-    body: Incoming,
+    (head, body): (request::Parts, Incoming),
     id: &Arc<str>,
     arrived: Instant,
+    unread: &AtomicBool,
 ) -> Result<Response<BoxBody>, ApiError> {
     let config = instance.daemon.config();
     let (route, organisation) = check(instance, &config, (&head, id), arrived)?;
@@ -160,13 +166,14 @@
         () = refused_at_stop(instance, (&route, &head.headers, id), arrived) => {
             // A caller that still sends would meet a reset instead of the answer.
             tokio::select! {
-                _ = read => {}
+                body = read => unread.store(body.is_err(), Ordering::Release),
                 () = instance.giving_up.cancelled() => {}
             }
             return Err(stopping(instance));
         }
         body = &mut read => body?,
     };
+    unread.store(false, Ordering::Release);
     let origin = (arrived, Via::Route, 0);
     let received = (head, body, id.clone());
     serve_read(instance, &config, received, (route, organisation), origin).await
--- a/agaterouted/tests/stop_bounds.rs
+++ b/agaterouted/tests/stop_bounds.rs
@@ -305,6 +305,11 @@
     instance.terminate();
     assert_eq!(kept.read(&mut [0; 1]).await.expect("an orderly end"), 0);
     assert!(!instance.logged("event=work_ended"), "the stream keeps the instance running");
+    // A request that crosses the end is not read, so that its caller may send it again.
+    let head = request_head("/order/", "crossing", CALL_DEADLINE_MS, "content-length: 0");
+    kept.write_all(head.as_bytes()).await.expect("the request is sent");
+    let is_reset = || kept.take_error().expect("its state").is_some();
+    eventually("the connection is reset", async || is_reset()).await;
     drop(running);
     assert!(eventually_some("the instance stops", async || instance.exit_success()).await);
 }
