Close a connection that gives way before it can begin another request

At the bound on connections one that waits for a request is told to close. The select had a random order, so a request that was in the socket already could be read, sent on and dropped without an answer (a second reviewer read this; no run has shown it). The order to close now comes first; the runtime has one thread, so nothing is read after it.

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -283,6 +283,12 @@
     let (mut retired, mut draining) = (false, false);
     loop {
         tokio::select! {
+            // A connection that has to close must not begin another request.
+            biased;
+            () = close.cancelled() => {
+                activity.ended("gave_way");
+                return;
+            }
             // A connection that was not used yet may come from a load balancer that has no other instance.
             () = instance.retiring.cancelled(), if !retired && activity.is_used() => {
                 retired = true;
@@ -292,10 +298,6 @@
                 draining = true;
                 served.as_mut().graceful_shutdown();
             }
-            () = close.cancelled() => {
-                activity.ended("gave_way");
-                return;
-            }
             ended = served.as_mut() => {
                 match ended {
                     Ok(()) => activity.ended("closed"),
