Do not blame a server for an answer that this instance has no memory for

The request now ends with 502 at once, without blame and without a repeat. No test: with the callers that give way a full memory can't be held still in one.

--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -14,6 +14,7 @@
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
+use crate::answer_body::BodyError;
 use crate::daemon::ServerRef;
 use crate::route_instance::RouteInstance;
 use crate::serve::RouteCall;
@@ -37,6 +38,8 @@
     Lost(ServerSignal),
     /// The request has no time left. The server may have run it.
     TimedOut,
+    /// The server has answered, after this time, and this instance has no memory for the answer.
+    NoMemory(Duration),
 }
 
 /// A complete answer of a backend server.
@@ -191,8 +194,12 @@
             Attempt::Answered(Answer { head, body, took, load: response_info.load })
         }
         Ok(Err(error)) => {
+            let is_own = matches!(error, BodyError::NoMemory);
             spdlog::info!("answer_not_read", kv: { request: = &*call.id, error: });
-            Attempt::Lost(ServerSignal::None)
+            match is_own {
+                true => Attempt::NoMemory(started.elapsed()),
+                false => Attempt::Lost(ServerSignal::None),
+            }
         }
         Err(_) => Attempt::TimedOut,
     }
@@ -281,6 +288,7 @@
         Attempt::Lost(ServerSignal::Crashed) => ("server_crashed", 0),
         Attempt::Lost(_) => ("lost", 0),
         Attempt::TimedOut => ("timed_out", 0),
+        Attempt::NoMemory(_) => ("no_memory", 0),
     };
     let load = match attempt {
         Attempt::Answered(answer) => answer.load,
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -453,6 +453,12 @@
                 let retry = call.route.kind.repeatable();
                 permit.end(End::Lost { tokens: 0, signal, retry });
             }
+            // The server did its part, and another one could not help either.
+            Attempt::NoMemory(took) => {
+                permit.end(End::Completed { tokens: 0, took_ms: took.as_millis() as u32 });
+                tracker.close(FinalOutcome::Unknown);
+                return Err(bad_gateway());
+            }
             Attempt::TimedOut => {
                 permit.end(lost_end(false));
                 tracker.close(FinalOutcome::Unknown);
--- a/agaterouted/src/stream_relay.rs
+++ b/agaterouted/src/stream_relay.rs
@@ -519,7 +519,7 @@
                 Attempt::Lost(signal) => {
                     self.request.permit.end(End::Lost { tokens, signal, retry: true });
                 }
-                Attempt::Answered(_) | Attempt::TimedOut => {
+                Attempt::Answered(_) | Attempt::TimedOut | Attempt::NoMemory(_) => {
                     self.request.permit.end(End::Lost {
                         tokens,
                         signal: ServerSignal::None,
