--- a/agaterouted/tests/listeners.rs
+++ b/agaterouted/tests/listeners.rs
@@ -327,6 +327,16 @@
     small.holds_once_read().await;
 }
 
+// Guards against memory for heads that stop short, each below the limit on one.
+#[tokio::test(flavor = "multi_thread")]
+async fn front_unfinished_short_heads() {
+    let mut small = start_small().await;
+    let line = b"POST / HTTP/1.1\r\nx-long: ";
+    let start = [&line[..], &vec![b'x'; CALLER_HEAD_BYTES / 2]].concat();
+    let _open = crowd(small.listen(), MANY_CALLERS, &[(&start[..], 1)]).await;
+    small.holds_once_read().await;
+}
+
 // Guards against descriptors for connections without a request.
 #[tokio::test(flavor = "multi_thread")]
 async fn front_without_requests() {
