--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -100,6 +100,14 @@
     let request = encode_request(instance, call, server, resume);
     let reuse = call.route.kind.repeatable() && resume.memory.is_none();
     let mut notice = Notice::default();
+    let mut ended = DropLog {
+        instance,
+        call,
+        server,
+        last_event: resume.last_event,
+        started,
+        is_logged: false,
+    };
     let exchange = async {
         let sent = instance.upstream.send(server, request, reuse);
         match tokio::time::timeout_at(until, sent).await {
@@ -124,10 +132,30 @@
         attempt = exchange => attempt,
         () = instance.giving_up.cancelled() => Attempt::TimedOut,
     };
-    log_attempt(instance, call, server, (&attempt, notice, resume.last_event), started);
+    ended.is_logged = true;
+    log_attempt(instance, call, server, (Some(&attempt), notice, resume.last_event), started);
     attempt
 }
 
+/// Logs an attempt that is dropped before its end, because its caller left or its connection was closed.
+struct DropLog<'a> {
+    instance: &'a RouteInstance,
+    call: &'a RouteCall,
+    server: &'a ServerRef,
+    last_event: Option<u64>,
+    started: Instant,
+    is_logged: bool,
+}
+
+impl Drop for DropLog<'_> {
+    fn drop(&mut self) {
+        if !self.is_logged {
+            let what = (None, Notice::default(), self.last_event);
+            log_attempt(self.instance, self.call, self.server, what, self.started);
+        }
+    }
+}
+
 /// Passes what a response says of its server to the reducer.
 fn observe(instance: &RouteInstance, request: RequestId, server: &ServerRef, notice: Notice) {
     let server = server.id;
@@ -276,23 +304,24 @@
     instance: &RouteInstance,
     call: &RouteCall,
     server: &ServerRef,
-    (attempt, notice, last_event): (&Attempt, Notice, Option<u64>),
+    (attempt, notice, last_event): (Option<&Attempt>, Notice, Option<u64>),
     started: Instant,
 ) {
     let caller = (instance.deployment.callers.decode)(&call.headers);
     let (outcome, status) = match attempt {
-        Attempt::Answered(answer) => ("answered", answer.head.status.as_u16()),
-        Attempt::Streaming(stream) => ("streams", stream.head.status.as_u16()),
-        Attempt::NotStarted(ServerSignal::Refused) => ("not_connected", 0),
-        Attempt::NotStarted(_) => ("not_started", 0),
-        Attempt::Lost(ServerSignal::Crashed) => ("server_crashed", 0),
-        Attempt::Lost(_) => ("lost", 0),
-        Attempt::TimedOut => ("timed_out", 0),
-        Attempt::NoMemory(_) => ("no_memory", 0),
+        None => ("dropped", 0),
+        Some(Attempt::Answered(answer)) => ("answered", answer.head.status.as_u16()),
+        Some(Attempt::Streaming(stream)) => ("streams", stream.head.status.as_u16()),
+        Some(Attempt::NotStarted(ServerSignal::Refused)) => ("not_connected", 0),
+        Some(Attempt::NotStarted(_)) => ("not_started", 0),
+        Some(Attempt::Lost(ServerSignal::Crashed)) => ("server_crashed", 0),
+        Some(Attempt::Lost(_)) => ("lost", 0),
+        Some(Attempt::TimedOut) => ("timed_out", 0),
+        Some(Attempt::NoMemory(_)) => ("no_memory", 0),
     };
     let load = match attempt {
-        Attempt::Answered(answer) => answer.load,
-        Attempt::Streaming(stream) => stream.response_info.load,
+        Some(Attempt::Answered(answer)) => answer.load,
+        Some(Attempt::Streaming(stream)) => stream.response_info.load,
         _ => None,
     };
     let load =
--- a/agaterouted/tests/cut_connections.rs
+++ b/agaterouted/tests/cut_connections.rs
@@ -46,6 +46,9 @@
     eventually("a server runs it", async || !platform.plain[0].runs().is_empty()).await;
     drop(caller);
     assert_eq!(cut_state(&instance).await, "busy");
+    let attempt = async || instance.find("event=attempt request=cut ");
+    let line = eventually_some("the attempt is logged", attempt).await;
+    assert_eq!(field(&line, "outcome"), "dropped");
 }
 
 #[tokio::test]
