Let requests that wait for a server give way when connections run out

Ordinary callers were turned away unheard while requests of others held all connections: their connections wait for this process, which nothing counted as giving way. At the bound the request that has waited longest for a server, and has not run, is now refused with 503 too_many_connections, and its connection closed; meanwhile an eighth more connections may be open.

--- a/agaterouted/src/connections.rs
+++ b/agaterouted/src/connections.rs
@@ -1,7 +1,8 @@
 //! Bounds the open connections of callers, by the memory and the descriptors of the process.
 //!
 //! At the bound a new connection takes the place of another one: of the one that has waited longest for a request, else of
-//! the one whose caller has gone longest without reading its answer.
+//! the one whose caller has gone longest without reading its answer, else of one whose body made no progress. If there is
+//! none, the request that has waited longest for a server is refused, and its connection is the next to go.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -26,6 +27,9 @@
 const UNREAD_TIME: Duration = Duration::from_secs(1);
 /// Connections that were closed are logged at most this often.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// A request that gives way holds its connection until it has its answer. So many connections, as a part of the bound, may
+/// be open beyond it meanwhile.
+const SURPLUS_DIVISOR: usize = 8;
 /// The smallest bound, whatever the settings say.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -54,6 +58,8 @@
     next: u64,
     /// The open connections, in the order of their arrival.
     open: Table<u64, Entry>,
+    /// The requests that wait for a server, in the order of their arrival, each with the token that ends its wait.
+    waiting: Table<u64, CancellationToken>,
     /// The connections that were closed, and the new ones that were refused, since the last line of the log.
     closed: u64,
     refused: u64,
@@ -78,8 +84,15 @@
     /// Creates a bound from the memory of the process, in bytes, and its descriptors.
     pub fn new(memory: usize, descriptors: usize) -> Arc<Connections> {
         let most = bound(memory, descriptors);
-        let state =
-            State { most, next: 0, open: Table::default(), closed: 0, refused: 0, logged: None };
+        let state = State {
+            most,
+            next: 0,
+            open: Table::default(),
+            waiting: Table::default(),
+            closed: 0,
+            refused: 0,
+            logged: None,
+        };
         Arc::new(Connections { state: Mutex::new(state) })
     }
 
@@ -104,7 +117,8 @@
         if full {
             let gave_way = state.close_longest(Waits::Request, now)
                 || state.close_longest(Waits::Caller, now)
-                || end_stalled();
+                || (state.open.len() < state.most + state.most / SURPLUS_DIVISOR
+                    && (end_stalled() || state.end_waiting()));
             state.refused += u64::from(!gave_way);
             state.log(now);
             if !gave_way {
@@ -119,6 +133,16 @@
         Some((Connection { connections: self.clone(), id, close }, full))
     }
 
+    /// Records a request that waits for a server, until the returned value is dropped.
+    pub fn wait(self: &Arc<Self>) -> Waiting {
+        let mut state = self.lock();
+        let id = state.next;
+        state.next += 1;
+        let gave_way = CancellationToken::new();
+        state.waiting.insert(id, gave_way.clone());
+        Waiting { connections: self.clone(), id, gave_way }
+    }
+
     /// Closes the connection whose caller has gone longest without reading its answer, to free the memory of that answer.
     /// Returns whether there was one.
     pub fn close_unread(&self) -> bool {
@@ -144,6 +168,15 @@
         true
     }
 
+    /// Ends the wait of the request that has waited longest. Returns whether there was one.
+    fn end_waiting(&mut self) -> bool {
+        let Some(id) = self.waiting.keys().next().copied() else { return false };
+        if let Some(gave_way) = self.waiting.remove(&id) {
+            gave_way.cancel();
+        }
+        true
+    }
+
     /// Logs the connections that were closed or refused since the last line.
     fn log(&mut self, now: Instant) {
         let recent = self.logged.is_some_and(|at| now.duration_since(at) < LOG_INTERVAL);
@@ -183,3 +216,24 @@
         }
     }
 }
+
+/// A request that waits for a server.
+#[derive(Debug)]
+pub struct Waiting {
+    connections: Arc<Connections>,
+    id: u64,
+    gave_way: CancellationToken,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.connections.lock().waiting.remove(&self.id);
+    }
+}
+
+impl Waiting {
+    /// Waits until this request has to give way to others.
+    pub async fn gave_way(&self) {
+        self.gave_way.cancelled().await;
+    }
+}
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod poll;
 pub mod readers;
 pub mod report;
+pub mod request_body;
 pub mod request_spec;
 pub mod request_tracker;
 pub mod restore;
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -15,26 +15,26 @@
 use agateroute_core::id::Id;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use opentelemetry::KeyValue;
 use opentelemetry::trace::SpanKind;
 use tokio::time::Instant;
 
 use crate::attempt::{self, Answer, Attempt, Resume};
+use crate::connections::Waiting;
 use crate::daemon::{Admission, Config, ServerRef, millis};
 use crate::error::{ApiError, Outcome};
 use crate::final_answer::{bad_gateway, error_response, log_refusal, plain_response, timed_out};
 use crate::forward::{self, Hop};
 use crate::front::check_header_limits;
 use crate::permit::Permit;
+use crate::request_body::read_body;
 use crate::request_spec::{build_spec, shared_parts};
 use crate::request_tracker::{FinalOutcome, LatencyTargets, RequestIdentity, Tracker};
 use crate::route_instance::RouteInstance;
 use crate::route_listener::BoxBody;
 use crate::stopping::{refuse_unfinishable, refused_at_stop, stopping, wait_over};
 use crate::stream_relay::{self, StreamRequest};
-use crate::telemetry::{Telemetry, extract};
+use crate::telemetry::extract;
 
 /// The final answer is sent this long before the caller stops waiting.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
@@ -53,8 +53,9 @@
 /// The organisation of callers without a key in logs, metrics and fairness.
 const PUBLIC_ORGANISATION: &str = "public";
 
-/// The codes of answers to requests whose body was not read to its end, so that their connections can not go on.
-const UNREAD_CODES: [&str; 4] = ["body_too_large", "body_memory", "body_stalled", "body_timeout"];
+/// The codes of answers after which the connection is closed: the body was not read to its end, or others need the place.
+const CLOSING_CODES: [&str; 5] =
+    ["body_too_large", "body_memory", "body_stalled", "body_timeout", "too_many_connections"];
 
 /// A request of a caller on a route, with its whole body.
 #[derive(Debug)]
@@ -112,7 +113,7 @@
     let mut closes = false;
     let mut response = answer.unwrap_or_else(|e| {
         log_refusal(&instance, &e, &id, arrived);
-        closes = UNREAD_CODES.contains(&e.code);
+        closes = CLOSING_CODES.contains(&e.code);
         error_response(&instance, &e, &id)
     });
     if closes || instance.daemon.leaving() {
@@ -322,55 +323,6 @@
     error
 }
 
-/// Reads the body of a request. Metrics say how much is being read, and why bodies are not read to their end.
-async fn read_body(
-    instance: &RouteInstance,
-    body: Incoming,
-    config: &Config,
-    time: Duration,
-) -> Result<Bytes, ApiError> {
-    let telemetry = &instance.daemon.telemetry;
-    let max_bytes = config.document.limits.body_bytes;
-    let mut arriving = Arriving { telemetry, bytes: 0 };
-    telemetry.bodies.add(1, &[]);
-    let body = body.map_frame(|frame| {
-        arriving.add(frame.data_ref().map_or(0, Bytes::len));
-        frame
-    });
-    let read = instance.body_memory.read(body, max_bytes as usize);
-    let error = match tokio::time::timeout(time, read).await {
-        Ok(Ok(body)) => return Ok(body),
-        Ok(Err(error)) => ApiError::from(error),
-        Err(_) => ApiError::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_timeout",
-            format!("the body did not arrive within {} ms", time.as_millis()),
-        ),
-    };
-    telemetry.refused_bodies.add(1, &[KeyValue::new("cause", error.code)]);
-    Err(error)
-}
-
-/// A body that is being read, for the metrics.
-struct Arriving<'a> {
-    telemetry: &'a Telemetry,
-    bytes: i64,
-}
-
-impl Arriving<'_> {
-    fn add(&mut self, bytes: usize) {
-        self.bytes += bytes as i64;
-        self.telemetry.body_bytes.add(bytes as i64, &[]);
-    }
-}
-
-impl Drop for Arriving<'_> {
-    fn drop(&mut self) {
-        self.telemetry.bodies.add(-1, &[]);
-        self.telemetry.body_bytes.add(-self.bytes, &[]);
-    }
-}
-
 /// The attempts made so far for a request that has no final answer yet.
 #[derive(Default)]
 struct Progress {
@@ -391,13 +343,19 @@
     let mut permit = instance.daemon.enqueue(spec);
     let mut progress = Progress::default();
     loop {
+        let may_yield = !progress.maybe_started && call.via == Via::Route;
+        let waiting = may_yield.then(|| instance.connections.wait());
         let admission = tokio::select! {
             biased;
             () = wait_over(instance, &call, progress.maybe_started) => {
                 return finish(progress, tracker, stopping(instance));
             }
+            () = gave_way(&waiting) => {
+                return finish(progress, tracker, too_many_connections());
+            }
             admission = tokio::time::timeout_at(call.answer_by, permit.admission()) => admission,
         };
+        drop(waiting);
         let server = match admission {
             Ok(Admission::Start(server)) => server,
             Ok(Admission::Move(unused, _)) => {
@@ -570,6 +528,23 @@
     }
 }
 
+/// Waits until a request has to give way to others, or forever if it may not.
+async fn gave_way(waiting: &Option<Waiting>) {
+    match waiting {
+        Some(waiting) => waiting.gave_way().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The refusal of a request that waits while other callers find no connection.
+fn too_many_connections() -> ApiError {
+    let message = "this request waited while other callers found no connection".to_owned();
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut error = ApiError::not_run(status, "too_many_connections", message);
+    error.retry_ms = RETRY_MS;
+    error
+}
+
 /// Maps a refusal to an error. Callers take a 4xx status for their own fault, so a quarantine gets a 503.
 fn refused(refusal: Refusal, retry_ms: u32) -> ApiError {
     let mut error = ApiError::refused(refusal, retry_ms);
--- a/agaterouted/tests/crowds.rs
+++ b/agaterouted/tests/crowds.rs
@@ -34,6 +34,11 @@
 /// The length of a long answer in bytes, and the callers that do not read theirs.
 const ANSWER_BYTES: usize = 12 << 20;
 const UNREAD_ANSWERS: usize = 24;
+/// Memory, descriptors, a header limit and a path that let the memory of heads count: the read buffer of a head has up to 64 KiB.
+const LEAST_MEMORY_MB: u64 = 64;
+const MANY_DESCRIPTORS: u64 = 4_100;
+const LONG_HEADER_BYTES: usize = 32 << 10;
+const LONG_PATH_BYTES: usize = 60_000;
 /// The length of an ordinary body in bytes.
 const ORDINARY_BYTES: usize = 17_000;
 
@@ -45,21 +50,28 @@
     _alone: MutexGuard<'static, ()>,
     platform: TestPlatform,
     instance: Instance,
+    /// The memory of the machine in MB, and the descriptors of the process.
+    memory_mb: u64,
+    descriptors: u64,
 }
 
 async fn start_small() -> Small {
+    start_with(MEMORY_MB, DESCRIPTORS, HEADER_BYTES).await
+}
+
+async fn start_with(memory_mb: u64, descriptors: u64, header_bytes: usize) -> Small {
     let alone = ONE_AT_A_TIME.lock().await;
     let platform = start_platform(1, 1, 3).await;
     let instance = platform.start_instance(5_000).await;
     let launch = &instance.launch;
-    let limits = (MEMORY_MB, DESCRIPTORS);
+    let limits = (memory_mb, descriptors);
     let settings = standin::limited_settings(&launch.name, launch.store, limits);
     std::fs::write(launch.settings_file(), settings).expect("the settings");
     instance.signal(Signal::HUP);
     eventually("the settings are read", async || instance.logged("event=settings_reloaded")).await;
     let body_bytes = BODY_BYTES as u64;
-    standin::publish_sizes(&platform.store, 2, body_bytes, HEADER_BYTES as u64);
-    let small = Small { _alone: alone, platform, instance };
+    standin::publish_sizes(&platform.store, 2, body_bytes, header_bytes as u64);
+    let small = Small { _alone: alone, platform, instance, memory_mb, descriptors };
     eventually("long bodies are allowed", async || small.call("/order/", ORDINARY_BYTES).await)
         .await;
     small
@@ -73,7 +85,7 @@
     }
 
     /// Returns the number of open descriptors of the process.
-    fn descriptors(&self) -> u64 {
+    fn open_descriptors(&self) -> u64 {
         let file = self.instance.launch.settings_file().display().to_string();
         let is_own = |path: &std::path::Path| {
             let environ = std::fs::read(path.join("environ")).unwrap_or_default();
@@ -123,12 +135,15 @@
         let served = async || self.call(path, ORDINARY_BYTES).await;
         eventually("an ordinary request is served", served).await;
         assert_eq!(self.instance.exit_success(), None, "the process has ended");
-        let (peak, open) = (self.instance.peak_memory_mib(), self.descriptors());
+        let (peak, open) = (self.instance.peak_memory_mib(), self.open_descriptors());
         let (unread, _) = self.unread();
         println!("peak {peak} MiB, {open} descriptors, {unread} bytes unread");
         let memory = peak * 1_048_576 + unread;
-        assert!(memory < MEMORY_MB * 1_000_000, "{peak} MiB at the peak, {unread} bytes unread");
-        assert!(open < DESCRIPTORS - RESERVED_DESCRIPTORS, "{open} open descriptors");
+        assert!(
+            memory < self.memory_mb * 1_000_000,
+            "{peak} MiB at the peak, {unread} bytes unread"
+        );
+        assert!(open < self.descriptors - RESERVED_DESCRIPTORS, "{open} open descriptors");
     }
 
     /// Connects callers that send a head and then blocks of bytes, and then neither send nor read nor close.
@@ -358,6 +373,30 @@
     small.holds("/draft/").await;
 }
 
+// Guards against callers who are turned away unheard while requests of others, which wait for a server, hold all connections.
+#[tokio::test]
+async fn crowd_that_waits() {
+    let mut small = start_small().await;
+    small.platform.plain[0].set_behaviour(standin::Behaviour::Hangs);
+    let _open = small.crowd(MANY_CALLERS, &sized("/order/", 0), &[]).await;
+    small.holds("/draft/").await;
+    let refused = async || small.instance.logged("code=too_many_connections outcome=not_run");
+    eventually("one that waited is told to come again", refused).await;
+}
+
+// Guards against heads and paths of requests that run, and what comes behind them, which nothing counts.
+#[tokio::test]
+async fn crowd_of_long_paths() {
+    let mut small = start_with(LEAST_MEMORY_MB, MANY_DESCRIPTORS, LONG_HEADER_BYTES).await;
+    small.platform.plain[0].set_behaviour(standin::Behaviour::Hangs);
+    let path = format!("/order/{}", "x".repeat(LONG_PATH_BYTES));
+    let (body, next) = (vec![b'x'; ORDINARY_BYTES], vec![b'x'; LONG_PATH_BYTES]);
+    let head = sized(&path, ORDINARY_BYTES);
+    let blocks = [(body.as_slice(), 1), (b"POST /", 1), (next.as_slice(), 1)];
+    let _open = small.crowd(MANY_CALLERS, &head, &blocks).await;
+    small.holds("/draft/").await;
+}
+
 // Guards against a bound that refuses a single caller inside the limits.
 #[tokio::test]
 async fn largest_body_in_calm() {
