Count the head and the path of a request until its answer is made

They were counted only until the head was whole, while the header fields keep the read buffer and the path is copied: up to 200 KiB a connection with long paths, beside the 80 KiB that a connection counts for. Twice the bytes of the head count now, to the end of the request.

--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -39,6 +39,8 @@
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
 /// The bytes that are then read at once.
 const LINGER_BLOCK_BYTES: usize = 4 * 1024;
+/// What a byte of a head may take: once in the read buffer, which the header fields keep, and once in a copy of the path.
+const HEAD_COPIES: usize = 2;
 /// The most header fields of one request.
 const MAX_HEADERS: usize = 100;
 /// The smallest read buffer that hyper accepts.
@@ -113,6 +115,8 @@
     unread: AtomicBool,
     /// Counts the bytes of a head that is not complete.
     head: Mutex<Option<BodyReader>>,
+    /// Counts the head of the request that runs.
+    held: Mutex<Option<Bytes>>,
     /// The id of the last request, and why the connection ended, for the log.
     last: Mutex<(Option<HeaderValue>, Option<String>)>,
     /// What a request was doing that ended without all of its answer.
@@ -142,6 +146,7 @@
             used: AtomicBool::new(false),
             unread: AtomicBool::new(false),
             head: Mutex::default(),
+            held: Mutex::default(),
             last: Mutex::default(),
             unfinished: Mutex::default(),
         }
@@ -180,7 +185,8 @@
             self.instance.unsent_answers.fetch_add(1, Ordering::AcqRel);
         }
         state.0 = ConnectionState::Busy;
-        self.head().take();
+        let held = self.head().take().and_then(|head| head.finish().ok());
+        *self.held.lock().unwrap_or_else(PoisonError::into_inner) = held;
         self.connection.set_waits(Waits::Process);
     }
 
@@ -193,6 +199,7 @@
             std::mem::replace(&mut *self.lock(), (ConnectionState::Sending, Instant::now()));
         let mut unfinished = self.unfinished.lock().unwrap_or_else(PoisonError::into_inner);
         *unfinished = (!is_complete).then_some(state.0);
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).take();
         self.connection.set_waits(Waits::Caller);
     }
 
@@ -202,7 +209,7 @@
         let ConnectionState::Idle(since) = state.0 else { return Ok(()) };
         state.0 = ConnectionState::Idle(since.or(Some(Instant::now())));
         let open = || self.instance.body_memory.open_with(self.connection.close.clone());
-        self.head().get_or_insert_with(open).count(bytes)
+        self.head().get_or_insert_with(open).count(bytes * HEAD_COPIES)
     }
 
     fn bytes_written(&self) {
