Let bodies that trickle in give way when memory or connections run out

A body that brought 1 KiB a second never counted as stalled, so a few hundred callers at half a megabyte a second together kept new connections out until the route's timeout (read by a reviewer). Under pressure, once none has stalled, the slowest of those below 16 KiB a second on average gives way, as the stalled ones do: 408, not run. Without pressure nothing changes.

--- a/agaterouted/src/body_memory.rs
+++ b/agaterouted/src/body_memory.rs
@@ -6,13 +6,14 @@
 //! left alone.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use agateroute_core::table::Table;
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Body;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::error::ApiError;
@@ -28,6 +29,9 @@
 const STALL_TIME: Duration = Duration::from_secs(1);
 /// The bytes that count as progress. With fewer, a caller could hold its place with a byte now and then.
 const PROGRESS_BYTES: usize = 1_024;
+/// A request that brings fewer bytes a second than this, since it began, gives way as well if none has stalled. The users'
+/// bodies of up to 17 kB are whole after a second at this rate.
+const MIN_RATE: f64 = 16.0 * 1_024.0;
 /// The capacity of the buffer of a body whose first bytes have arrived.
 const MIN_CAPACITY: usize = 4 * 1024;
 /// The retry delay suggested to callers that were refused because the bound is reached, in milliseconds.
@@ -108,8 +112,10 @@
     buffer: Vec<u8>,
     /// The bytes that are counted for this request.
     counted: usize,
-    /// The bytes that arrived since the last progress.
+    /// The bytes that arrived, and those of them since the last progress.
+    arrived: usize,
     unmarked: usize,
+    opened: Instant,
     progress: Instant,
     gave_way: CancellationToken,
 }
@@ -141,11 +147,14 @@
         let mut state = self.lock();
         let id = state.next;
         state.next += 1;
+        let now = Instant::now();
         let reader = Reader {
             buffer: Vec::new(),
             counted: 0,
+            arrived: 0,
             unmarked: 0,
-            progress: Instant::now(),
+            opened: now,
+            progress: now,
             gave_way: gave_way.clone(),
         };
         state.readers.insert(id, reader);
@@ -194,6 +203,13 @@
     (capacity * 2).max(MIN_CAPACITY).min(most).max(length)
 }
 
+impl Reader {
+    /// The bytes that arrived in a second, on average since the request began.
+    fn rate(&self, now: Instant) -> f64 {
+        self.arrived as f64 / now.duration_since(self.opened).as_secs_f64()
+    }
+}
+
 impl State {
     /// Counts more bytes for a request that then has `total` of them. Others give way if they must.
     fn count(&mut self, id: u64, more: usize, total: usize) -> Result<(), ReadError> {
@@ -214,10 +230,13 @@
 
     fn end_stalled(&mut self, except: Option<u64>) -> bool {
         let now = Instant::now();
-        let others = self.readers.iter().filter(|(id, _)| Some(**id) != except);
-        let longest = others.min_by_key(|(_, reader)| reader.progress);
+        let others = || self.readers.iter().filter(|(id, _)| Some(**id) != except);
+        let longest = others().min_by_key(|(_, reader)| reader.progress);
         let stalled = longest.filter(|(_, r)| now.duration_since(r.progress) >= STALL_TIME);
-        let Some(id) = stalled.map(|(id, _)| *id) else { return false };
+        let old = others().filter(|(_, r)| now.duration_since(r.opened) >= STALL_TIME);
+        let slowest = old.min_by(|(_, a), (_, b)| a.rate(now).total_cmp(&b.rate(now)));
+        let slow = slowest.filter(|(_, r)| r.rate(now) < MIN_RATE);
+        let Some(id) = stalled.or(slow).map(|(id, _)| *id) else { return false };
         if let Some(reader) = self.readers.remove(&id) {
             self.used -= reader.counted;
             reader.gave_way.cancel();
@@ -296,6 +315,7 @@
     /// Records that bytes of a request have arrived.
     fn arrived(&mut self, id: u64, bytes: usize) {
         let Some(reader) = self.readers.get_mut(&id) else { return };
+        reader.arrived += bytes;
         reader.unmarked += bytes;
         if reader.unmarked >= PROGRESS_BYTES {
             (reader.unmarked, reader.progress) = (0, Instant::now());
