Let callers who read a trickle of their answer give way when memory runs out

Under pressure, once no caller has read nothing for a second, the slowest below 16 KiB a second on average gives way.

--- a/agaterouted/src/body_memory.rs
+++ b/agaterouted/src/body_memory.rs
@@ -31,7 +31,7 @@
 const PROGRESS_BYTES: usize = 1_024;
 /// A request that brings fewer bytes a second than this, since it began, gives way as well if none has stalled. The users'
 /// bodies of up to 17 kB are whole after a second at this rate.
-const MIN_RATE: f64 = 16.0 * 1_024.0;
+pub const MIN_RATE: f64 = 16.0 * 1_024.0;
 /// The capacity of the buffer of a body whose first bytes have arrived.
 const MIN_CAPACITY: usize = 4 * 1024;
 /// The retry delay suggested to callers that were refused because the bound is reached, in milliseconds.
--- a/agaterouted/src/connections.rs
+++ b/agaterouted/src/connections.rs
@@ -5,11 +5,14 @@
 //! none, the request that has waited longest for a server is refused, and its connection is the next to go.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use agateroute_core::table::Table;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::body_memory::MIN_RATE;
+
 /// The descriptors that a machine reserves for files.
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Connections of callers may use the other descriptors divided by this. The rest is for backend servers, peers, the table
@@ -23,7 +26,8 @@
 /// What a connection takes at most beside its request and answer, in bytes: about 15 KiB in the process, measured, and its
 /// receive buffer, for which the kernel takes twice its size.
 const CONNECTION_BYTES: usize = 16 * 1024 + 2 * RECEIVE_BYTES;
-/// A caller that has not read from its answer for so long gives way to others if a bound is reached.
+/// A caller that has not read from its answer for so long, or has read it at less than [`MIN_RATE`], gives way to others if a
+/// bound is reached.
 const UNREAD_TIME: Duration = Duration::from_secs(1);
 /// Connections that were closed are logged at most this often.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -70,10 +74,21 @@
 #[derive(Debug)]
 struct Entry {
     waits: Waits,
+    /// When it began to wait, or its caller read something last.
     since: Instant,
+    /// When it began to wait, and the bytes that its caller has read since.
+    began: Instant,
+    read: usize,
     close: CancellationToken,
 }
 
+impl Entry {
+    /// The bytes that its caller has read in a second, on average since the whole answer was made.
+    fn rate(&self, now: Instant) -> f64 {
+        self.read as f64 / now.duration_since(self.began).as_secs_f64()
+    }
+}
+
 fn bound(memory: usize, descriptors: usize) -> usize {
     let by_descriptors = descriptors.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTOR_DIVISOR;
     let by_memory = memory / MEMORY_DIVISOR / CONNECTION_BYTES;
@@ -128,7 +143,8 @@
         let id = state.next;
         state.next += 1;
         let close = CancellationToken::new();
-        let entry = Entry { waits: Waits::Request, since: now, close: close.clone() };
+        let entry =
+            Entry { waits: Waits::Request, since: now, began: now, read: 0, close: close.clone() };
         state.open.insert(id, entry);
         Some((Connection { connections: self.clone(), id, close }, full))
     }
@@ -157,10 +173,13 @@
 impl State {
     fn close_longest(&mut self, waits: Waits, now: Instant) -> bool {
         let after = if waits == Waits::Caller { UNREAD_TIME } else { Duration::ZERO };
-        let waiting = self.open.iter().filter(|(_, entry)| entry.waits == waits);
-        let longest = waiting.min_by_key(|(_, entry)| entry.since);
+        let waiting = || self.open.iter().filter(|(_, entry)| entry.waits == waits);
+        let longest = waiting().min_by_key(|(_, entry)| entry.since);
         let longest = longest.filter(|(_, entry)| now.duration_since(entry.since) >= after);
-        let Some(id) = longest.map(|(id, _)| *id) else { return false };
+        let old = waiting().filter(|(_, entry)| now.duration_since(entry.began) >= after);
+        let slowest = old.min_by(|(_, a), (_, b)| a.rate(now).total_cmp(&b.rate(now)));
+        let slow = slowest.filter(|(_, entry)| entry.rate(now) < MIN_RATE);
+        let Some(id) = longest.or(slow).map(|(id, _)| *id) else { return false };
         if let Some(entry) = self.open.remove(&id) {
             entry.close.cancel();
         }
@@ -212,7 +231,16 @@
     /// Records what the connection waits for from now on.
     pub fn set_waits(&self, waits: Waits) {
         if let Some(entry) = self.connections.lock().open.get_mut(&self.id) {
-            (entry.waits, entry.since) = (waits, Instant::now());
+            let now = Instant::now();
+            (entry.waits, entry.since, entry.began, entry.read) = (waits, now, now, 0);
+        }
+    }
+
+    /// Records that the caller has read more of its answer.
+    pub fn wrote(&self, bytes: usize) {
+        if let Some(entry) = self.connections.lock().open.get_mut(&self.id) {
+            entry.since = Instant::now();
+            entry.read += bytes;
         }
     }
 }
--- a/agaterouted/src/route_listener.rs
+++ b/agaterouted/src/route_listener.rs
@@ -212,11 +212,11 @@
         self.head().get_or_insert_with(open).count(bytes * HEAD_COPIES)
     }
 
-    fn bytes_written(&self) {
+    fn bytes_written(&self, bytes: usize) {
         let mut state = self.lock();
         state.1 = Instant::now();
         if state.0 == ConnectionState::Sending {
-            self.connection.set_waits(Waits::Caller);
+            self.connection.wrote(bytes);
         }
     }
 
@@ -438,8 +438,8 @@
     }
 
     fn record_written(&self, written: &Poll<std::io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(_))) {
-            self.activity.bytes_written();
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.activity.bytes_written(*bytes);
         }
     }
 }
