Close connections of peers that answer nothing

The gRPC server never checked connections that other instances made. A connection on which nothing arrives for 10 s is checked now, and closed after 10 s more. Links carry heartbeats, so nothing is sent on them for this. Test: peers.rs, silent_connection_closed; open after 60 s before.

--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -49,6 +49,10 @@
 /// silent for good.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How often a connection that another instance made is checked while nothing arrives on it, and how long that instance may
+/// take to answer. Frozen instances wake up within seconds.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(10);
+const IDLE_CHECK_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest message of a forwarded request or its answer, above the largest bodies of both.
 const MAX_FORWARD_BYTES: usize = 64 * 1024 * 1024;
 
@@ -132,6 +136,8 @@
     let service = Counted { service, memory };
     Server::builder()
         .tcp_nodelay(true)
+        .http2_keepalive_interval(Some(IDLE_CHECK_INTERVAL))
+        .http2_keepalive_timeout(Some(IDLE_CHECK_TIMEOUT))
         .add_service(service)
         .serve_with_incoming_shutdown(accept(listener, connections), cancel.cancelled())
         .await
--- a/agaterouted/tests/peers.rs
+++ b/agaterouted/tests/peers.rs
@@ -3,8 +3,15 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use agatestand::fault::{FaultProxy, Faults};
 use harness::{Caller, Harness, StreamEnd, eventually, get_json, steady};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Time after which the test stops waiting for the end of a connection. Long enough for a busy machine.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Two daemons whose only link goes through a fault proxy.
 async fn linked_through_proxy() -> (Harness, FaultProxy) {
@@ -61,3 +68,17 @@
 async fn both_directions_stalled() {
     check_stall(Faults { hold_requests: true, hold_answers: true, ..Faults::default() }).await;
 }
+
+// Guards against connections of peers that are gone without a word, and that count against the bound for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_closed() {
+    /// The start of a connection of HTTP/2: its preface and an empty frame of settings.
+    const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+    let mut harness = Harness::new(&[steady(300.0, 5)], &[]).await;
+    harness.start_daemon(false).await;
+    let mut stream = TcpStream::connect(&harness.daemons[0].peer).await.expect("a connection");
+    stream.write_all(PREFACE).await.expect("the preface is sent");
+    // It answers neither the settings nor the pings of the daemon.
+    let closed = tokio::time::timeout(CLOSE_TIMEOUT, stream.read_to_end(&mut Vec::new())).await;
+    assert!(closed.is_ok(), "the connection is still open");
+}
