--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,7 +4,9 @@
 //! the case could not run. With `TROUBLE=0` in the environment it does the same without the disruption.
 
 mod client;
+mod engine;
 mod http;
+mod late_return;
 mod replica;
 mod stale_list;
 mod store;
@@ -55,6 +57,7 @@
     let folder = Folder::new();
     let code = match case.as_str() {
         "stale_list" => stale_list::play(trouble, &folder.0, &mut record),
+        "late_return" => late_return::play(trouble, &folder.0, &mut record),
         _ => 2,
     };
     record.line(format!("exit {code}"));
