--- a/review/standin-2/stale_list.rs
+++ b/review/standin-2/stale_list.rs
@@ -114,6 +114,8 @@
         });
         record.line(format!("{} drains, acknowledged at {} ms; {outage}", left.id, ms(left.at)));
         let ran = || arrivals.iter().filter(|a| a.ran && a.replica == left.id && a.at > left.at);
+        let lost = ran().filter(|a| sent.iter().any(|s| s.id == a.id && s.status == 502)).count();
+        record.line(format!("  requests that ran there from then on and ended with 502: {lost}"));
         for machine in 0..MACHINES {
             let mine = || ran().filter(|a| machine_of(&a.id) == machine);
             let late = mine().filter(|a| a.at > left.at + DRAIN).count();
@@ -124,11 +126,16 @@
                 ));
                 continue;
             };
+            // What was on its way when the machine was told is left out.
+            let first = mine().find(|a| a.at > told + Duration::from_millis(50));
+            let again = first.map_or("nothing more".to_owned(), |a| {
+                format!("again {} ms later", (a.at - told).as_millis())
+            });
             let early = mine()
                 .filter(|a| a.at > told + Duration::from_millis(50) && a.at <= told + DRAIN)
                 .count();
             record.line(format!(
-                "  {} is told by the store at {} ms; it sends {early} in DrainMs from then, and {late} later",
+                "  {} is told by the store at {} ms, and sends {again}: {early} in DrainMs from then, {late} later",
                 all[machine].name, ms(told)
             ));
             // Without a disruption of the store, the machine must have been in touch.
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -2,12 +2,19 @@
 
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use crate::http::{Wire, wire};
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: std::ffi::c_ulong = 9;
 const FRONT: u16 = 8740;
 const READY: u16 = 8749;
 const PEERS: u16 = 7200;
@@ -82,6 +89,14 @@
             }
         }
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
+        // The process ends with this one, also if this one is killed.
+        let end_with_parent = || {
+            // SAFETY: this call takes plain numbers and is allowed between fork and exec.
+            unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+            Ok(())
+        };
+        // SAFETY: the closure allocates nothing and takes no lock.
+        unsafe { command.pre_exec(end_with_parent) };
         self.child = Some(command.spawn().expect("the program starts"));
     }
 
