Log where each document came from and how long peers were waited for

The lines could not tell four hypotheses of a late configuration apart: no line said when a version was first heard of, where the active one came from, which peers were asked and how long each was waited for. version_announced, document_taken and sources_slow say it; attempt names the version by which the route was found (decided_by), which may differ from the active one when the attempt ends; a histogram has the time from announcement to activation. No logic changes.

--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -9,6 +9,7 @@
 mod derives;
 
 pub mod admission;
+pub mod announced;
 pub mod backoff;
 pub mod brittle;
 pub mod catalog;
--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -428,6 +428,7 @@
         pause_ms: = label(notice.pause_ms).as_str(),
         brittle: = label(notice.brittle).as_str(),
         leaving = notice.leaving,
+        decided_by = call.version,
         version = instance.daemon.config().version,
         reading_age_ms = instance.document_age(),
     });
--- a/agaterouted/src/daemon.rs
+++ b/agaterouted/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use agateroute_config::{Document, Settings};
+use agateroute_core::announced::Announced;
 use agateroute_core::effect::Refusal;
 use agateroute_core::event::{RequestId, RequestSpec};
 use agateroute_core::id::Millis;
@@ -121,6 +122,7 @@
     started: Instant,
     next_id: AtomicU64,
     newest_version: AtomicU64,
+    announced: Mutex<Announced>,
     configured: AtomicBool,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -154,6 +156,7 @@
             dialers: Dialers::default(),
             announcements: Announcements::default(),
             newest_version: AtomicU64::new(0),
+            announced: Mutex::default(),
             inner: Mutex::new(Inner {
                 state,
                 waiters: Table::default(),
@@ -325,10 +328,25 @@
     }
 
     /// Records the version that a peer has active. A newer one wakes the task that reads it.
-    pub fn observe_version(&self, version: u64) {
+    pub fn observe_version(&self, version: u64, peer: Id) {
         if self.newest_version.fetch_max(version, Ordering::AcqRel) < version {
             self.version_notify.notify_one();
         }
+        let active = self.config().version;
+        if version > active && self.lock_announced().hear(self.now(), version) {
+            let peer = self.peer_address(peer).unwrap_or_default();
+            spdlog::info!("version_announced", kv: { version, active, peer: = peer.as_str() });
+        }
+    }
+
+    /// Returns how long ago the first version up to the active one was announced, in milliseconds, and forgets these versions.
+    pub fn announcement_delay(&self) -> Option<Millis> {
+        let first = self.lock_announced().activate(self.config().version)?;
+        Some(self.now().saturating_sub(first))
+    }
+
+    fn lock_announced(&self) -> MutexGuard<'_, Announced> {
+        self.announced.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The newest version that any peer has announced.
--- a/agaterouted/src/declared.rs
+++ b/agaterouted/src/declared.rs
@@ -180,7 +180,8 @@
         Ok(declared) => {
             let era = read.era.unwrap_or(0);
             let version = DocumentVersion { version: declared.version, era };
-            apply_declared(instance, declared, era);
+            let origin = Origin { peer: "", requested_at, age_ms: Some(0) };
+            apply_declared(instance, declared, era, &origin);
             let state = instance.source.lock();
             let held = state.declared.version().unwrap_or(version);
             let announced = instance.daemon.newest_version();
@@ -200,15 +201,48 @@
     }
 }
 
+/// Where a document came from, for the log.
+#[derive(Debug)]
+pub struct Origin<'a> {
+    /// The peer address, empty for the table service.
+    pub peer: &'a str,
+    /// When it was asked for, on the boot clock.
+    pub requested_at: Millis,
+    /// How long ago the source had read it then, in milliseconds; `None` if it does not say.
+    pub age_ms: Option<Millis>,
+}
+
 /// Activates a declared document that was read in an era, if it is newer than the active one.
-pub fn apply_declared(instance: &RouteInstance, declared: OperatorDocument, era: u64) {
+pub fn apply_declared(
+    instance: &RouteInstance,
+    declared: OperatorDocument,
+    era: u64,
+    origin: &Origin,
+) {
     let version = DocumentVersion { version: declared.version, era };
     let warnings = declared.warnings.clone();
+    let decoded_at = boot_millis();
+    let age_ms = instance.document_age();
     if instance.source.lock().declared.offer(version, Arc::new(declared)) {
         for warning in warnings {
             spdlog::warn!("document_value_ignored", kv: { error: = warning.as_str() });
         }
         rebuild_config(instance);
+        let delay_ms = instance.daemon.announcement_delay();
+        if let Some(delay_ms) = delay_ms {
+            instance.daemon.telemetry.version_delay.record(delay_ms as f64 / 1_000.0, &[]);
+        }
+        spdlog::info!("document_taken", kv: {
+            version = version.version,
+            era,
+            source: = if origin.peer.is_empty() { "table" } else { "peer" },
+            peer: = origin.peer,
+            source_age_ms = origin.age_ms.map_or(-1, |age| age as i64),
+            fetch_ms = decoded_at.saturating_sub(origin.requested_at),
+            build_ms = boot_millis().saturating_sub(decoded_at),
+            announced_ms = delay_ms.map_or(-1, |delay| delay as i64),
+            former_age_ms = age_ms,
+        });
     }
 }
 
--- a/agaterouted/src/peers.rs
+++ b/agaterouted/src/peers.rs
@@ -431,7 +431,7 @@
         };
         let status = PeerStatus { leaving: batch.leaving, cut_off: batch.cut_off, cut: batch.cut };
         daemon.apply(Event::Heartbeat { peer, status });
-        daemon.observe_version(batch.version);
+        daemon.observe_version(batch.version, peer);
         if batch.probe {
             daemon.answer_probe(peer);
         }
--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -5,7 +5,7 @@
 //! reports. See `docs/DESIGN.md`, "Readers of the table service".
 
 use std::borrow::Cow;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use agateroute_core::distribution::{self, Answers, Place, Sources};
 use agateroute_core::evacuation::{Point, Update};
@@ -21,7 +21,7 @@
 use crate::clock::boot_millis;
 use crate::compose::{PeerDocument, PeerListing};
 use crate::daemon::{Daemon, millis};
-use crate::declared::apply_declared;
+use crate::declared::{Origin, apply_declared};
 use crate::discovery::{apply_peer_changes, apply_peer_list, servers_within};
 use crate::packed;
 use crate::restore;
@@ -63,6 +63,8 @@
 /// asked by dozens of instances before it has an answer.
 pub const START_RETRY_PAUSE: Duration = Duration::from_millis(50);
 const MAX_START_RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// The time after which a round of questions is logged. Also bounds the number of these lines.
+const SLOW_ROUND: Duration = Duration::from_millis(250);
 /// Hashed to choose the instances that read the table service.
 const READER_DUTY: &str = "discovery";
 
@@ -188,6 +190,8 @@
     caller: Id,
     answers: Answers,
     told: Option<Millis>,
+    /// What each peer answered and how long that took, for the log.
+    asked: Vec<String>,
 }
 
 /// Asks the peers of the level above this instance, and others if none of these is alive and has a recent list.
@@ -198,8 +202,9 @@
         (state.list_peer, state.turn)
     };
     let caller = if turn.insists(daemon.now()) { 0 } else { daemon.identity.id() };
-    let (answers, told) = Default::default();
-    let mut asking = Asking { instance, place: sources.place, caller, answers, told };
+    let began = Instant::now();
+    let (answers, told, asked) = Default::default();
+    let mut asking = Asking { instance, place: sources.place, caller, answers, told, asked };
     let mut served = None;
     for peer in sources.candidates(former, turn.rounds()) {
         if asking.ask(peer).await {
@@ -215,6 +220,7 @@
             }
         }
     }
+    log_slow_round(instance, sources, &asking.asked, (turn.rounds(), began.elapsed()));
     let Some(peer) = served else {
         let mut state = instance.source.lock();
         let has_list = state.servers_read;
@@ -230,14 +236,10 @@
     async fn ask(&mut self, peer: Id) -> bool {
         let daemon = &self.instance.daemon;
         let Some(address) = daemon.peer_address(peer) else { return false };
-        let mut fetched = fetch(self.instance, &address, Level::Debug, self.caller).await;
-        for attempt in 0..MAX_CATCH_UPS {
-            if !matches!(fetched, Fetched::Answered { .. }) || !is_behind(daemon) {
-                break;
-            }
-            tokio::time::sleep(CATCH_UP_PAUSE * (1 << attempt)).await;
-            fetched = fetch(self.instance, &address, Level::Debug, self.caller).await;
-        }
+        let began = Instant::now();
+        let fetched = self.fetch(&address).await;
+        let took_ms = began.elapsed().as_millis();
+        self.asked.push(format!("{address}:{}:{took_ms}", fetched.as_str()));
         let retry_ms = match fetched {
             Fetched::Nothing => return false,
             Fetched::Refused { retry_ms } => {
@@ -256,6 +258,42 @@
         }
         matches!(fetched, Fetched::Answered { .. }) && is_fresh(self.instance, self.place)
     }
+
+    /// Fetches from a peer until it has read the version that was announced, a few times at most.
+    async fn fetch(&self, address: &str) -> Fetched {
+        let daemon = &self.instance.daemon;
+        let mut fetched = fetch(self.instance, address, Level::Debug, self.caller).await;
+        for attempt in 0..MAX_CATCH_UPS {
+            if !matches!(fetched, Fetched::Answered { .. }) || !is_behind(daemon) {
+                break;
+            }
+            tokio::time::sleep(CATCH_UP_PAUSE * (1 << attempt)).await;
+            fetched = fetch(self.instance, address, Level::Debug, self.caller).await;
+        }
+        fetched
+    }
+}
+
+/// Logs a round of questions that took long, with what each peer answered.
+fn log_slow_round(
+    instance: &RouteInstance,
+    sources: &Sources,
+    asked: &[String],
+    (rounds, took): (usize, Duration),
+) {
+    if took < SLOW_ROUND {
+        return;
+    }
+    spdlog::info!("sources_slow", kv: {
+        place: = sources.place.as_str(),
+        rank = sources.rank.position,
+        rounds,
+        took_ms = took.as_millis() as u64,
+        asked: = asked.join(","),
+        version = instance.daemon.config().version,
+        announced = instance.daemon.newest_version(),
+        reading_age_ms = instance.document_age(),
+    });
 }
 
 fn record_source(instance: &RouteInstance, peer: Id, place: Place, former: Option<Id>) {
@@ -334,6 +372,16 @@
     Answered { retry_ms: u32 },
 }
 
+impl Fetched {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Fetched::Nothing => "silent",
+            Fetched::Refused { .. } => "refused",
+            Fetched::Answered { .. } => "answered",
+        }
+    }
+}
+
 /// Fetches and applies the snapshot of a peer. `caller` is 0 if the peer must not refuse it.
 async fn fetch(instance: &RouteInstance, address: &str, level: Level, caller: Id) -> Fetched {
     let requested_at = boot_millis();
@@ -364,7 +412,10 @@
     if !reply.document.is_empty()
         && let Some(document) = parse::<PeerDocument>(address, &reply.document)
     {
-        apply_declared(instance, document.into_declared(reply.version), reply.document_era);
+        let age_ms = reply.reading_age.checked_sub(1);
+        let origin = Origin { peer: address, requested_at, age_ms };
+        let declared = document.into_declared(reply.version);
+        apply_declared(instance, declared, reply.document_era, &origin);
     }
     let version = daemon.config().version;
     if let Some(age) = reply.reading_age.checked_sub(1)
--- a/agaterouted/src/serve.rs
+++ b/agaterouted/src/serve.rs
@@ -92,6 +92,8 @@
     pub via: Via,
     /// The number of attempts that the peer made from which the request came.
     pub begun: u32,
+    /// The version of the document in which the route was found.
+    pub version: u64,
 }
 
 impl RouteCall {
@@ -226,6 +228,7 @@
         arrived,
         via,
         begun,
+        version: config.version,
     };
     let tracker = open_tracker(instance, &call, &rank_name)?;
     let spec = build_spec(instance, config, &call);
--- a/agaterouted/src/telemetry.rs
+++ b/agaterouted/src/telemetry.rs
@@ -97,6 +97,8 @@
     pub remembered_denials: Counter<u64>,
     /// The time from the stated time to the permit of callers that came back to this instance, in seconds.
     pub return_wait: Histogram<f64>,
+    /// The time from the announcement of a version by a peer until it was active here, in seconds.
+    pub version_delay: Histogram<f64>,
     registry: Registry,
     meter_provider: SdkMeterProvider,
     tracer_provider: SdkTracerProvider,
@@ -183,6 +185,11 @@
                 "agateroute.return_wait",
                 "From the stated time to the permit of a caller that came back",
             ),
+            version_delay: latency(
+                &meter,
+                "agateroute.version_delay",
+                "From the announcement of a version until it was active",
+            ),
             tracer: tracer_provider.tracer("agaterouted"),
             registry,
             meter_provider,
