Read the document itself when no peer hands it on in time

Callers were served by a version that was older than the bound, or refused as not_ready, at instances to which nothing was done and that reached the table service. Cause: an instance that asks peers had no bound on that. It waited 1,000 ms for each peer that does not answer, one after the other, then for a turn that is spaced for the list of servers, and did not act on an announcement meanwhile. Evidence: sources_slow of 2,002 to 3,005 ms, announced=14 beside version=2, in docs/incidents/config-late.md.

Now each instance reads the document when its own is 75 percent of the bound old, or an announced version is 10 percent late, in a task that waits for no peer, so the sum of what it waits for no longer depends on others.

Weighed: shorter time limits, parallel questions, pushes, turns; see docs/design/large-fleets.md.

--- a/agateroute_core/src/distribution.rs
+++ b/agateroute_core/src/distribution.rs
@@ -39,6 +39,8 @@
 /// The shortest and the longest pause before a peer that had no list is asked again, in milliseconds.
 const MIN_RETRY_MS: Millis = 50;
 const MAX_RETRY_MS: Millis = 1_000;
+/// How long a peer that has not answered is not asked, in milliseconds: as long as it takes to find it dead.
+const SILENCE_MS: Millis = 3_000;
 
 value! {
     /// The place of an instance that does not read the table service.
@@ -239,6 +241,29 @@
     }
 }
 
+/// The peers that have not answered lately. One that stands still would cost a time limit in each round until its link ends.
+#[derive(Clone, Debug, Default)]
+pub struct Silences {
+    silent_at: Table<Id, Millis>,
+}
+
+impl Silences {
+    /// Records whether a peer has answered.
+    pub fn record(&mut self, peer: Id, now: Millis, answered: bool) {
+        self.silent_at.retain(|_, at| now < *at + SILENCE_MS);
+        if answered {
+            self.silent_at.remove(&peer);
+        } else {
+            self.silent_at.insert(peer, now);
+        }
+    }
+
+    /// Whether a peer may be asked.
+    pub fn may_ask(&self, peer: Id, now: Millis) -> bool {
+        self.silent_at.get(&peer).is_none_or(|at| *at + SILENCE_MS <= now)
+    }
+}
+
 /// Returns the pause before an instance asks again that was told when to do so, in milliseconds.
 pub fn retry_pause(told: Option<Millis>, rounds: usize) -> Millis {
     let own = MIN_RETRY_MS << rounds.min(4);
--- a/agateroute_core/src/lib.rs
+++ b/agateroute_core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod quotes;
 pub mod reach;
 pub mod readers;
+pub mod recency;
 pub mod refusals;
 pub mod relay;
 pub mod rendezvous;
--- a/agateroute_core/tests/fleet_model/mod.rs
+++ b/agateroute_core/tests/fleet_model/mod.rs
@@ -1,10 +1,11 @@
 //! A model of a fleet above the bound of relays, without a network: readers of the table service, relays and leaves, with one clock.
 #![allow(dead_code, reason = "each test file uses only a part of the model")]
 
-use agateroute_core::distribution::{Answers, Clients, Place, Sources, Turn};
+use agateroute_core::distribution::{Answers, Clients, Place, Silences, Sources, Turn};
 use agateroute_core::distribution::{retry_pause, sources, uses_relays};
 use agateroute_core::id::Millis;
 use agateroute_core::readers::{self, reader_count};
+use agateroute_core::recency;
 use agateroute_core::{Id, Table, id, rendezvous};
 
 const ZONES: usize = 3;
@@ -19,8 +20,7 @@
 pub const CONFIGURE_MS: Millis = 3_000;
 const RELAY_DOCUMENT_MS: Millis = CONFIGURE_MS * 75 / 100;
 const LEAF_DOCUMENT_MS: Millis = CONFIGURE_MS * 85 / 100;
-/// How often a reader reads the document, and how long that takes.
-const REREAD_MS: Millis = CONFIGURE_MS * 50 / 100;
+/// How long a read of the document takes.
 const DOCUMENT_READ_MS: Millis = 50;
 /// How long an instance waits for a peer that does not answer.
 const FETCH_TIMEOUT_MS: Millis = 1_000;
@@ -38,6 +38,17 @@
     id(&format!("instance-{number}"))
 }
 
+/// Ages of what the running instances know, in milliseconds.
+#[derive(Default)]
+pub struct Ages {
+    /// The oldest document of an instance.
+    pub document: Millis,
+    /// The oldest list of an instance.
+    pub list: Millis,
+    /// The newest list of all instances. Who has read that a server left tells all others.
+    pub newest_list: Millis,
+}
+
 #[derive(Default)]
 pub struct Node {
     pub alive: bool,
@@ -66,6 +77,7 @@
     documents: Vec<(Millis, Millis)>,
     reread_at: Millis,
     pub document_reads: u64,
+    silences: Silences,
 }
 
 pub struct Fleet {
@@ -77,6 +89,12 @@
 }
 
 impl Node {
+    /// Whether it has read the document itself and has not got it yet.
+    fn reading(&self, now: Millis) -> bool {
+        let own = |(at, read_at): &(Millis, Millis)| *at == *read_at + DOCUMENT_READ_MS;
+        self.documents.iter().filter(|d| own(d)).any(|(at, read_at)| (*read_at..*at).contains(&now))
+    }
+
     fn read_document(&mut self, now: Millis) {
         self.document_reads += 1;
         self.documents.push((now + DOCUMENT_READ_MS, now));
@@ -154,7 +172,12 @@
         node.document_at = arrived.max().unwrap_or(0).max(node.document_at);
         node.documents.retain(|(at, _)| now < *at);
         if reads && node.reread_at <= now {
-            node.reread_at = now + REREAD_MS;
+            node.reread_at = now + recency::reread_ms(CONFIGURE_MS);
+            node.read_document(now);
+        }
+        let age = now.saturating_sub(node.document_at);
+        let due = recency::document_due(CONFIGURE_MS, instance(me), age, None) == 0;
+        if due && !node.reading(now) {
             node.read_document(now);
         }
     }
@@ -193,7 +216,8 @@
             self.ask_readers(me, now);
             return;
         }
-        let sources = self.view(me);
+        let mut sources = self.view(me);
+        sources.retain(|i| self.nodes[me].silences.may_ask(i, now));
         let max_age = if sources.place == Place::Leaf { LEAF_AGE_MS } else { RELAY_AGE_MS };
         let (former, turn) = (self.nodes[me].parent, self.nodes[me].turn);
         let mut answers = Answers::default();
@@ -228,10 +252,12 @@
     fn ask_readers(&mut self, me: usize, now: Millis) {
         let order = rendezvous::order(instance(me), self.readers.iter().copied());
         let same_zone = |i: Id| self.number(i) % ZONES == me % ZONES;
-        let order = readers::near_first(order, same_zone);
+        let order = readers::near_first(order, same_zone).into_iter();
+        let silences = self.nodes[me].silences.clone();
+        let order = order.filter(|r| silences.may_ask(*r, now));
         let mut answers = Answers::default();
         let mut took = 0;
-        for peer in order.into_iter().take(MAX_READERS_TRIED) {
+        for peer in order.take(MAX_READERS_TRIED) {
             if self.served_by(me, peer, now, RELAY_AGE_MS, &mut took, &mut answers) {
                 return;
             }
@@ -260,10 +286,13 @@
         let (same_source, insists) =
             (own.is_some() && *parent == Some(peer), turn.insists(now) || flat);
         let source = &mut self.nodes[number];
-        if source.stopped || source.slow_ms >= FETCH_TIMEOUT_MS {
+        let answers_late = source.stopped || source.slow_ms >= FETCH_TIMEOUT_MS;
+        self.nodes[me].silences.record(peer, now + *took, !answers_late);
+        if answers_late {
             *took += FETCH_TIMEOUT_MS;
             return false;
         }
+        let source = &mut self.nodes[number];
         source.asked += 1;
         answers.any = true;
         *took += ROUND_TRIP_MS + source.slow_ms;
@@ -309,16 +338,19 @@
         oldest
     }
 
-    /// Runs until a time, and returns the largest age of a document of a running instance on the way.
-    pub fn run_documents(&mut self, from: Millis, until: Millis) -> Millis {
-        let mut oldest = 0;
+    /// Runs until a time, and returns the largest ages on the way.
+    pub fn run_ages(&mut self, from: Millis, until: Millis) -> Ages {
+        let mut most = Ages::default();
         for now in (from..until).step_by(STEP_MS as usize) {
             self.step(now);
-            let running = self.nodes.iter().filter(|n| n.alive && !n.stopped);
-            let ages = running.map(|n| now.saturating_sub(n.document_at));
-            oldest = oldest.max(ages.max().unwrap_or(0));
+            let running = || self.nodes.iter().filter(|n| n.alive && !n.stopped);
+            let documents = running().map(|n| now.saturating_sub(n.document_at));
+            let lists = || running().map(|n| n.read_at.map_or(now, |at| now - at));
+            most.document = most.document.max(documents.max().unwrap_or(0));
+            most.list = most.list.max(lists().max().unwrap_or(0));
+            most.newest_list = most.newest_list.max(lists().min().unwrap_or(0));
         }
-        oldest
+        most
     }
 
     /// The reads of the document from the table service.
--- a/agateroute_core/tests/late_documents.rs
+++ b/agateroute_core/tests/late_documents.rs
@@ -24,7 +24,7 @@
         fleet.nodes[number].stopped = true;
     }
     let before = fleet.document_reads();
-    let oldest = fleet.run_documents(from, from + STOPPED_MS);
+    let oldest = fleet.run_ages(from, from + STOPPED_MS).document;
     (oldest, fleet.document_reads() - before)
 }
 
@@ -74,7 +74,7 @@
     for size in SIZES {
         let (mut fleet, now) = running(size);
         let before: Vec<u64> = fleet.nodes.iter().map(|n| n.document_reads).collect();
-        let oldest = fleet.run_documents(now, now + STOPPED_MS);
+        let oldest = fleet.run_ages(now, now + STOPPED_MS).document;
         let read = |n: &usize| fleet.nodes[*n].document_reads > before[*n];
         let readers: Vec<usize> = (0..size).filter(read).collect();
         println!("{size}: oldest document {oldest} ms, {} instances read it", readers.len());
--- a/agaterouted/src/daemon.rs
+++ b/agaterouted/src/daemon.rs
@@ -108,6 +108,8 @@
     pub arriving: AtomicI64,
     /// Wakes the task that reads the configuration when a peer has a newer version.
     pub version_notify: Notify,
+    /// Wakes the task that reads the document if peers do not hand a newer version on in time.
+    pub announced_notify: Notify,
     /// The document and backend servers that peers can fetch from this instance.
     pub snapshot: Snapshot,
     /// The tasks that dial peers.
@@ -152,6 +154,7 @@
             active: AtomicI64::new(0),
             arriving: AtomicI64::new(0),
             version_notify: Notify::new(),
+            announced_notify: Notify::new(),
             snapshot: Snapshot::default(),
             dialers: Dialers::default(),
             announcements: Announcements::default(),
@@ -334,6 +337,7 @@
         }
         let active = self.config().version;
         if version > active && self.lock_announced().hear(self.now(), version) {
+            self.announced_notify.notify_one();
             let peer = self.peer_address(peer).unwrap_or_default();
             spdlog::info!("version_announced", kv: { version, active, peer: = peer.as_str() });
         }
@@ -345,6 +349,11 @@
         Some(self.now().saturating_sub(first))
     }
 
+    /// The time since the first version was announced that is newer than the active one, in milliseconds; `None` if none was.
+    pub fn announced_for(&self) -> Option<Millis> {
+        Some(self.now().saturating_sub(self.lock_announced().since()?))
+    }
+
     fn lock_announced(&self) -> MutexGuard<'_, Announced> {
         self.announced.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/agaterouted/src/declared.rs
+++ b/agaterouted/src/declared.rs
@@ -8,6 +8,7 @@
 use agateroute_core::evacuation::{RowState, Update, ZoneRow};
 use agateroute_core::id::Millis;
 use agateroute_core::readers::Role;
+use agateroute_core::recency;
 use agateroute_core::restore::DocumentVersion;
 use agateroute_storage::PlatformError;
 use agateroute_storage::error::Cause;
@@ -21,9 +22,6 @@
 use crate::route_instance::RouteInstance;
 use crate::source::{DependencyMonitor, TableRead, cancelled_within};
 
-/// The part of `configure_ms` after which the document is read again, in percent, unless a peer announces a
-/// newer version before. The rest leaves time for the read and one retry.
-const REREAD_PERCENT: u64 = 50;
 /// How long one read of changes waits. Full reads catch changes that it misses.
 const CHANGES_WAIT: Duration = Duration::from_secs(10);
 /// The pause before changes are read again after a failure, or while another instance follows them.
@@ -57,7 +55,7 @@
 }
 
 /// Reads the document's table in full. Returns the pause before the next read.
-async fn read_document(instance: &RouteInstance, monitor: &mut DependencyMonitor) -> Duration {
+pub async fn read_document(instance: &RouteInstance, monitor: &mut DependencyMonitor) -> Duration {
     let (table, key) = instance.deployment.document_row;
     let requested_at = boot_millis();
     match instance.source.read_table(&instance.deployment, table).await {
@@ -98,7 +96,7 @@
 
 /// The pause before the next read of the document. It is shorter while reads of a restored service prove nothing.
 fn reread_pause(instance: &RouteInstance) -> Duration {
-    let pause_ms = instance.bounds().configure_ms * REREAD_PERCENT / 100;
+    let pause_ms = recency::reread_ms(instance.document_bound());
     match instance.source.lock().restores.settles_in(boot_millis()) {
         0 => millis(pause_ms),
         left_ms => millis(left_ms.max(MIN_UNSETTLED_PAUSE_MS).min(pause_ms)),
--- a/agaterouted/src/lib.rs
+++ b/agaterouted/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod log;
 pub mod memory_copy;
 pub mod ops;
+pub mod overdue;
 pub mod packed;
 pub mod pages;
 pub mod peer_listener;
--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -14,6 +14,7 @@
 use agateroute_core::server_list::ListPoint;
 use agateroute_core::{Event, Id, State, id};
 use agateroute_proto::peers::{FetchReply, FetchRequest};
+use futures_util::future::join_all;
 use rand::seq::SliceRandom;
 use serde::de::DeserializeOwned;
 use spdlog::Level;
@@ -98,7 +99,8 @@
 }
 
 /// The peers that this instance may ask; `None` if it reads the table service or the fleet has no relays.
-fn sources(daemon: &Daemon) -> Option<Sources> {
+fn sources(instance: &RouteInstance) -> Option<Sources> {
+    let daemon = &instance.daemon;
     let Role::Client(readers) = role(daemon) else { return None };
     if !uses_relays(daemon) {
         return None;
@@ -112,7 +114,9 @@
     zone.push(me);
     let readers = readers::near_first(readers, |r| daemon.in_same_zone(r));
     let mut sources = distribution::sources(me, id(READER_DUTY), &zone, &readers);
-    sources.retain(|i| daemon.peer_address(i).is_some());
+    let (now, state) = (daemon.now(), instance.source.lock());
+    sources.retain(|i| daemon.peer_address(i).is_some() && state.silences.may_ask(i, now));
+    drop(state);
     Some(sources)
 }
 
@@ -127,7 +131,7 @@
 pub async fn refresh(instance: &RouteInstance) -> bool {
     let mut pause = START_RETRY_PAUSE;
     loop {
-        if let Some(sources) = sources(&instance.daemon) {
+        if let Some(sources) = sources(instance) {
             let told = match ask_sources(instance, &sources).await {
                 Round::Recent => return true,
                 Round::Not { told } => told,
@@ -165,7 +169,7 @@
 
 /// Whether this instance gets the list of servers from relays or readers, and must not read it itself now.
 pub fn waits_for_turn(instance: &RouteInstance) -> bool {
-    let Some(sources) = sources(&instance.daemon) else { return false };
+    let Some(sources) = sources(instance) else { return false };
     servers_within(instance, LEAF_AGE_PERCENT) || !may_read(instance, &sources)
 }
 
@@ -239,6 +243,8 @@
         let began = Instant::now();
         let fetched = self.fetch(&address).await;
         let took_ms = began.elapsed().as_millis();
+        let answered = !matches!(fetched, Fetched::Nothing);
+        self.instance.source.lock().silences.record(peer, daemon.now(), answered);
         self.asked.push(format!("{address}:{}:{took_ms}", fetched.as_str()));
         let retry_ms = match fetched {
             Fetched::Nothing => return false,
@@ -311,12 +317,13 @@
 async fn ask_readers(instance: &RouteInstance) -> bool {
     let Role::Client(readers) = role(&instance.daemon) else { return false };
     let readers = readers::near_first(readers, |r| instance.daemon.in_same_zone(r));
-    let linked = readers.into_iter().filter_map(|r| instance.daemon.peer_address(r));
-    for address in linked.take(MAX_READERS_TRIED) {
-        if fetch_from(instance, &address, Level::Debug).await
-            && !is_fresh(instance, Place::Relay)
-            && is_behind(&instance.daemon)
-        {
+    let (now, silences) = (instance.daemon.now(), instance.source.lock().silences.clone());
+    let linked = readers.into_iter().filter(|r| silences.may_ask(*r, now));
+    let linked = linked.filter_map(|r| Some((r, instance.daemon.peer_address(r)?)));
+    for (reader, address) in linked.take(MAX_READERS_TRIED) {
+        let answered = fetch_from(instance, &address, Level::Debug).await;
+        instance.source.lock().silences.record(reader, instance.daemon.now(), answered);
+        if answered && !is_fresh(instance, Place::Relay) && is_behind(&instance.daemon) {
             tokio::time::sleep(CATCH_UP_PAUSE).await;
             fetch_from(instance, &address, Level::Debug).await;
         }
@@ -351,9 +358,8 @@
 pub async fn fetch_some(instance: &RouteInstance) {
     let mut addresses = instance.daemon.peer_addresses();
     addresses.shuffle(&mut rand::rng());
-    for address in addresses.iter().take(MAX_PEERS_ASKED) {
-        fetch_from(instance, address, Level::Info).await;
-    }
+    let asked = addresses.iter().take(MAX_PEERS_ASKED);
+    join_all(asked.map(|address| fetch_from(instance, address, Level::Info))).await;
 }
 
 /// Fetches and applies the snapshot of a peer that must not refuse it. Returns whether the peer answered. `level` is the level of the
--- a/agaterouted/src/route_instance.rs
+++ b/agaterouted/src/route_instance.rs
@@ -26,7 +26,7 @@
 use crate::telemetry::Telemetry;
 use crate::upstream::Upstream;
 use crate::{
-    declared, discovery, instances, jobs, log, pages, peers, poll, restore,
+    declared, discovery, instances, jobs, log, overdue, pages, peers, poll, restore,
     route_listener as listener, supervisor, versions,
 };
 
@@ -147,6 +147,13 @@
         self.daemon.snapshot.document_age().is_some_and(|age| age < self.bounds().revoke_ms)
     }
 
+    /// How old the document may become while the table service is reached, in milliseconds. What it says has to be in force by
+    /// then, and so have the evacuations that are read with it.
+    pub fn document_bound(&self) -> Millis {
+        let bounds = self.bounds();
+        bounds.configure_ms.min(bounds.evacuation_ms.unwrap_or(Millis::MAX))
+    }
+
     /// Whether the load balancer should send requests to this instance.
     pub fn ready(&self) -> bool {
         let knows_all = self.source.has_servers() && self.document_is_fresh();
@@ -245,6 +252,7 @@
     tokio::spawn(versions::read(daemon, token));
     spawn_loop("document", instance, cancel, declared::follow_document);
     spawn_loop("document_changes", instance, cancel, declared::follow_changes);
+    spawn_loop("overdue_document", instance, cancel, overdue::follow);
     spawn_loop("servers", instance, cancel, discovery::follow_servers);
     spawn_loop("restores", instance, cancel, restore::follow);
     spawn_loop("instances", instance, cancel, instances::follow);
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -11,7 +11,7 @@
 use agateroute_adapter::{Changes, Deployment};
 use agateroute_config::route::Route;
 use agateroute_core::Id;
-use agateroute_core::distribution::Turn;
+use agateroute_core::distribution::{Silences, Turn};
 use agateroute_core::newest::Newest;
 use agateroute_core::restore::{DocumentVersion, Restores};
 use agateroute_core::roster::Roster;
@@ -66,6 +66,8 @@
     pub list_peer: Option<Id>,
     /// When this instance may read the list itself, if no peer gives it a recent one.
     pub turn: Turn,
+    /// The peers that have not answered lately.
+    pub silences: Silences,
     /// The failed reads of the rows of instances.
     pub rows_failures: u32,
     /// The last revision of the servers in the former era.
@@ -226,6 +228,11 @@
         DependencyMonitor { name, failures: 0 }
     }
 
+    /// Whether the last read failed.
+    pub fn is_lost(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Records a failed read. Returns the pause before the next one, which grows with each failure so that
     /// many instances do not overload a service that is recovering.
     pub fn record_failure(&mut self, error: &PlatformError) -> Duration {
