--- a/agaterouted/src/declared.rs
+++ b/agaterouted/src/declared.rs
@@ -20,7 +20,7 @@
 use crate::readers;
 use crate::restore;
 use crate::route_instance::RouteInstance;
-use crate::source::{DependencyMonitor, TableRead, cancelled_within};
+use crate::source::{TableRead, cancelled_within};
 
 /// How long one read of changes waits. Full reads catch changes that it misses.
 const CHANGES_WAIT: Duration = Duration::from_secs(10);
@@ -34,7 +34,6 @@
 
 /// Keeps the newest document active, until cancelled.
 pub async fn follow_document(instance: Arc<RouteInstance>, cancel: CancellationToken) {
-    let mut monitor = DependencyMonitor::new("document");
     let mut last_role = None;
     loop {
         let role = readers::role(&instance.daemon);
@@ -44,7 +43,7 @@
         }
         let pause = match readers::refresh(&instance).await {
             true => readers::fetch_pause(&instance),
-            false => read_document(&instance, &mut monitor).await,
+            false => read_document(&instance).await,
         };
         tokio::select! {
             () = cancel.cancelled() => return,
@@ -55,12 +54,12 @@
 }
 
 /// Reads the document's table in full. Returns the pause before the next read.
-pub async fn read_document(instance: &RouteInstance, monitor: &mut DependencyMonitor) -> Duration {
+pub async fn read_document(instance: &RouteInstance) -> Duration {
     let (table, key) = instance.deployment.document_row;
     let requested_at = boot_millis();
     match instance.source.read_table(&instance.deployment, table).await {
         Ok(read) => {
-            monitor.record_success();
+            instance.source.lock_monitor().record_success();
             restore::observe(instance);
             instance.daemon.apply(Event::TableReachable { reachable: true });
             {
@@ -85,7 +84,7 @@
         Err(PlatformError { cause: Cause::Superseded, .. }) => Duration::ZERO,
         Err(error) => {
             instance.daemon.apply(Event::TableReachable { reachable: false });
-            let pause = monitor.record_failure(&error);
+            let pause = instance.source.lock_monitor().record_failure(&error);
             if instance.document_age() > MAX_READ_AGE_MS {
                 readers::fetch_some(instance).await;
             }
--- a/agaterouted/src/overdue.rs
+++ b/agaterouted/src/overdue.rs
@@ -13,16 +13,15 @@
 use crate::declared;
 use crate::readers;
 use crate::route_instance::RouteInstance;
-use crate::source::{DependencyMonitor, cancelled_within};
+use crate::source::cancelled_within;
 
 /// Reads the document whenever it is due, until cancelled.
 pub async fn follow(instance: Arc<RouteInstance>, cancel: CancellationToken) {
-    let mut monitor = DependencyMonitor::new("overdue_document");
     let daemon = &instance.daemon;
     loop {
         // After a failure it reads again although peers may hand the document on: until a read succeeds the others do not count on it
         // as a reader.
-        let retries = monitor.is_lost();
+        let retries = instance.source.lock_monitor().is_lost();
         let due_ms = due_in(&instance);
         let pause_ms = if retries { due_ms.min(instance.document_bound()) } else { due_ms };
         if pause_ms > 0 {
@@ -42,7 +41,7 @@
             announced_ms = daemon.announced_for().map_or(-1, |time| time as i64),
             reading_age_ms = instance.document_age(),
         });
-        let pause = declared::read_document(&instance, &mut monitor).await;
+        let pause = declared::read_document(&instance).await;
         if due_in(&instance) == 0 && cancelled_within(&cancel, pause).await {
             return;
         }
@@ -53,7 +52,9 @@
 /// peers as much time as if it had one.
 fn due_in(instance: &RouteInstance) -> Millis {
     let daemon = &instance.daemon;
-    let age = daemon.snapshot.document_age().unwrap_or_else(|| daemon.now());
-    let me = daemon.identity.id();
-    recency::document_due(instance.document_bound(), me, age, daemon.announced_for())
+    let (bound_ms, me) = (instance.document_bound(), daemon.identity.id());
+    match daemon.snapshot.document_age() {
+        Some(age) => recency::document_due(bound_ms, me, age, daemon.announced_for()),
+        None => recency::document_due(bound_ms, me, daemon.now(), None),
+    }
 }
--- a/agaterouted/src/source.rs
+++ b/agaterouted/src/source.rs
@@ -41,6 +41,8 @@
     client: Client,
     address: RwLock<String>,
     state: Mutex<SourceState>,
+    /// Whether the document can be read, for all tasks that read it.
+    document_monitor: Mutex<DependencyMonitor>,
 }
 
 /// The results of reads of the table service and of fetches from peers.
@@ -114,6 +116,7 @@
                 restores: Restores::new(deployment.first_start),
                 ..SourceState::default()
             }),
+            document_monitor: Mutex::new(DependencyMonitor::new("document")),
         }
     }
 
@@ -122,6 +125,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the record of whether the document can be read.
+    pub fn lock_monitor(&self) -> MutexGuard<'_, DependencyMonitor> {
+        self.document_monitor.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The address of the table service.
     pub fn address(&self) -> String {
         self.address.read().unwrap_or_else(PoisonError::into_inner).clone()
