Read the list of servers when it is due, and let its reader tell the others

An instance reads it when it is 80 percent of the bound old now, spaced by what a read takes, and tells all others of servers that left; a peer's announcement counts as one to all also where it is no follower, so that not everyone repeats it.

--- a/agateroute_core/src/recency.rs
+++ b/agateroute_core/src/recency.rs
@@ -15,6 +15,13 @@
 const ANNOUNCED_PERCENT: Millis = 10;
 /// The part of the bound over which the reads of a fleet are spread, in percent.
 const SPREAD_PERCENT: Millis = 5;
+/// The size of a list of servers for each server, and what the slowest link carries in a millisecond, in bytes.
+const ENTRY_BYTES: u64 = 400;
+const LINK_BYTES_MS: u64 = 1_250;
+/// The age by which the first instance of an availability zone has read the list of servers itself, in percent of its bound, and
+/// the age before which none does so, however long a read takes.
+const LIST_READ_PERCENT: Millis = 80;
+const MIN_LIST_PERCENT: Millis = 60;
 
 /// Returns the pause between two reads of the document by a reader, in milliseconds.
 pub fn reread_ms(bound_ms: Millis) -> Millis {
@@ -30,3 +37,12 @@
     let by_age = left(DUE_PERCENT, age);
     announced.map_or(by_age, |since| by_age.min(left(ANNOUNCED_PERCENT, since)))
 }
+
+/// Returns the age at which an instance reads the list of servers itself that it gets from relays or readers, in milliseconds.
+/// `position` is its place in the order of its zone. A read takes longer the more servers there are, and those that come later
+/// find the list at a peer by then.
+pub fn list_due_ms(bound_ms: Millis, position: usize, servers: usize) -> Millis {
+    let read_ms = (servers as u64 * ENTRY_BYTES).div_ceil(LINK_BYTES_MS);
+    let first_ms = (bound_ms * LIST_READ_PERCENT / 100).saturating_sub(read_ms);
+    first_ms.max(bound_ms * MIN_LIST_PERCENT / 100) + position as Millis * read_ms
+}
--- a/agateroute_core/tests/fleet_model/mod.rs
+++ b/agateroute_core/tests/fleet_model/mod.rs
@@ -78,6 +78,9 @@
     reread_at: Millis,
     pub document_reads: u64,
     silences: Silences,
+    pub list_reads: u64,
+    /// The lists that this instance reads itself beside its questions: when they arrive, and when they were read.
+    lists: Vec<(Millis, Millis)>,
 }
 
 pub struct Fleet {
@@ -86,6 +89,8 @@
     /// What each instance computes from the live ones, until these change.
     views: Vec<Option<Sources>>,
     pub readers: Vec<Id>,
+    /// The number of servers in the list.
+    pub servers: usize,
 }
 
 impl Node {
@@ -111,6 +116,7 @@
             numbers: (0..size).map(|n| (instance(n), n)).collect(),
             views: vec![None; size],
             readers,
+            servers: 3_000,
         }
     }
 
@@ -152,6 +158,7 @@
                 continue;
             }
             self.step_document(me, now);
+            self.step_list(me, now);
             if now < self.nodes[me].next {
                 continue;
             }
@@ -182,6 +189,27 @@
         }
     }
 
+    /// Reads the list of servers when the instance has waited for it long enough. Fleets without relays do so as soon as no reader has a
+    /// recent one.
+    fn step_list(&mut self, me: usize, now: Millis) {
+        let node = &mut self.nodes[me];
+        let arrived = node.lists.iter().filter(|(at, _)| *at <= now).map(|(_, read_at)| *read_at);
+        node.read_at = node.read_at.max(arrived.max());
+        node.lists.retain(|(at, _)| now < *at);
+        let Some(read_at) = node.read_at else { return };
+        if self.reads_table(me) || !uses_relays(self.nodes.len()) {
+            return;
+        }
+        let position = self.view(me).rank.position;
+        let due_ms = recency::list_due_ms(DRAIN_MS, position, self.servers);
+        let took = self.servers as Millis * 400 / LINK_BYTES_MS + ROUND_TRIP_MS;
+        let node = &mut self.nodes[me];
+        if due_ms <= now - read_at && node.lists.is_empty() {
+            node.list_reads += 1;
+            node.lists.push((now + took, now));
+        }
+    }
+
     /// Whether an instance reads the table service as its duty. In the smallest fleets all do.
     fn reads_table(&self, me: usize) -> bool {
         self.nodes.len() <= 5 || self.readers.contains(&instance(me))
--- a/agaterouted/src/announcements.rs
+++ b/agaterouted/src/announcements.rs
@@ -37,9 +37,11 @@
     }
 }
 
-/// Records a message that a server leaves, if a follower sent it. Others send it to the owner of the server only.
+/// Records a message that a server leaves, if it went to all instances: a follower sent it, or this instance got it without being the
+/// owner of the server.
 pub fn heard(daemon: &Daemon, peer: Id, server: Id) {
-    if readers::followers(daemon).contains(&peer) {
+    let me = daemon.identity.id();
+    if readers::followers(daemon).contains(&peer) || daemon.read(|s| s.owner_of(server)) != me {
         daemon.announcements.record(server, daemon.now());
     }
 }
@@ -55,7 +57,9 @@
     }
     let daemon = daemon.clone();
     tokio::spawn(async move {
-        tokio::time::sleep(millis(FIRST_FOLLOWER_MS)).await;
+        // Where no follower answers, several clients read the list at once.
+        let pause = millis(FIRST_FOLLOWER_MS).mul_f64(rand::random_range(1.0..1.5));
+        tokio::time::sleep(pause).await;
         if !daemon.announcements.contains(server, daemon.now()) {
             daemon.broadcast_leaving(server);
         }
--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -11,6 +11,7 @@
 use agateroute_core::evacuation::{Point, Update};
 use agateroute_core::id::Millis;
 use agateroute_core::readers::{self, Role};
+use agateroute_core::recency;
 use agateroute_core::server_list::ListPoint;
 use agateroute_core::{Event, Id, State, id};
 use agateroute_proto::peers::{FetchReply, FetchRequest};
@@ -170,7 +171,15 @@
 /// Whether this instance gets the list of servers from relays or readers, and must not read it itself now.
 pub fn waits_for_turn(instance: &RouteInstance) -> bool {
     let Some(sources) = sources(instance) else { return false };
-    servers_within(instance, LEAF_AGE_PERCENT) || !may_read(instance, &sources)
+    servers_within(instance, LEAF_AGE_PERCENT)
+        || !may_read(instance, &sources) && !list_is_due(instance, &sources)
+}
+
+/// Whether the list of servers is so old that this instance reads it itself, although it may still wait for peers.
+fn list_is_due(instance: &RouteInstance, sources: &Sources) -> bool {
+    let servers = instance.daemon.config().servers.len();
+    let due_ms = recency::list_due_ms(instance.bounds().drain_ms, sources.rank.position, servers);
+    instance.daemon.snapshot.servers_age().is_some_and(|age| due_ms <= age)
 }
 
 fn may_read(instance: &RouteInstance, sources: &Sources) -> bool {
--- a/agaterouted/tests/silent_sources.rs
+++ b/agaterouted/tests/silent_sources.rs
@@ -91,3 +91,16 @@
     let answer = instance.call("POST", "/order/", "yew-key", "").await;
     assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
 }
+
+/// Guards against a server that left and gets requests until it is the instance's turn to read the list.
+#[tokio::test(flavor = "multi_thread")]
+async fn list_past_silent_sources() {
+    let platform = start_platform(2, 0, 0).await;
+    let instance = start_among_silent(&platform).await;
+    platform.plain[0].list_draining(&platform.store);
+    eventually("the list without the server is known", async || {
+        let newest = instance.find("event=servers_in_force");
+        newest.is_some_and(|l| l.contains("servers=1"))
+    })
+    .await;
+}
