Take answers with an invalid status for lost

Callers got answers with status 101 or 600 to 999 of a server in trouble as answers to their requests, with the server's signature, on calls, generations and requests that a peer hands over. The HTTP library refuses 000 and no status, so those were 502 before, but passes the others on. All places that take an answer check the status now: attempts on routes, plain calls and generations of the product's own interface, and answers of peers, whose build may not check. Such an answer counts as lost: the request is repeated if it may be, and its caller gets 502 otherwise; status_invalid names the server.

--- a/agaterouted/src/attempt.rs
+++ b/agaterouted/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::daemon::ServerRef;
 use crate::route_instance::RouteInstance;
 use crate::serve::RouteCall;
-use crate::upstream::{Connection, SendError};
+use crate::upstream::{Connection, SendError, is_final};
 
 /// After a lost connection, a server that is crashing has closed its port within this time.
 pub const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
@@ -253,6 +253,11 @@
 ) -> Attempt {
     let ends_with_connection = response.ends_with_connection();
     let Stream { head, body, connection, response_info } = response;
+    if !is_final(head.status) {
+        let (server, status) = (&*server.name, head.status.as_u16());
+        spdlog::warn!("status_invalid", kv: { request: = &*call.id, server, status });
+        return Attempt::Lost(ServerSignal::None);
+    }
     let matches = response_info.id.as_deref() == Some(&*call.id);
     if response_info.refused && (matches || response_info.id.is_none()) {
         let signal =
--- a/agaterouted/src/call.rs
+++ b/agaterouted/src/call.rs
@@ -27,6 +27,7 @@
 use crate::plain::{HTTP, IDEMPOTENCY_KEY_HEADER, OutgoingCall, is_forwarded};
 use crate::request_tracker::{FinalOutcome, RequestIdentity, Tracker};
 use crate::telemetry::{end_span, inject};
+use crate::upstream::is_final;
 
 /// A call of a plain service, as the caller sent it.
 #[derive(Debug)]
@@ -269,9 +270,9 @@
         Ok(Ok(response)) if response.status() == StatusCode::SERVICE_UNAVAILABLE => {
             Attempt::NotStarted(ServerSignal::Leaving)
         }
-        Ok(Ok(response)) => Attempt::Answered(response),
+        Ok(Ok(response)) if is_final(response.status()) => Attempt::Answered(response),
         Ok(Err(e)) if e.is_connect() => Attempt::NotStarted(ServerSignal::Refused),
-        Ok(Err(_)) | Err(_) => Attempt::Unknown,
+        Ok(Ok(_) | Err(_)) | Err(_) => Attempt::Unknown,
     }
 }
 
--- a/agaterouted/src/forward.rs
+++ b/agaterouted/src/forward.rs
@@ -32,6 +32,7 @@
 use crate::route_listener::{BoxBody, full_body};
 use crate::serve::{self, RouteCall};
 use crate::telemetry::{end_span, inject};
+use crate::upstream::is_final;
 
 /// The peer ends a request this long before the entry instance has to, in milliseconds, so that its answer arrives in time.
 const HOP_MS: u64 = 10;
@@ -229,7 +230,8 @@
 
 fn decode_head(head: &ForwardHead) -> Option<Response<()>> {
     let mut response = Response::new(());
-    *response.status_mut() = StatusCode::from_u16(u16::try_from(head.status).ok()?).ok()?;
+    let status = StatusCode::from_u16(u16::try_from(head.status).ok()?).ok()?;
+    *response.status_mut() = Some(status).filter(|s| is_final(*s))?;
     *response.headers_mut() = decode_headers(&head.headers)?;
     Some(response)
 }
--- a/agaterouted/src/stream.rs
+++ b/agaterouted/src/stream.rs
@@ -25,6 +25,7 @@
 use crate::permit::Permit;
 use crate::request_tracker::{FinalOutcome, Tracker};
 use crate::telemetry::{end_span, inject};
+use crate::upstream::is_final;
 
 /// The tokens of a stream after which its progress is reported to the reducer again.
 const PROGRESS_INTERVAL_TOKENS: u64 = 32;
@@ -146,6 +147,10 @@
         let status = response.status();
         if status != StatusCode::OK {
             return Err(match status {
+                // It says nothing of whether the generation runs.
+                s if !is_final(s) => {
+                    failed(End::Lost { tokens: 0, signal: ServerSignal::None, retry: true })
+                }
                 StatusCode::SERVICE_UNAVAILABLE => {
                     failed(End::NotStarted { signal: ServerSignal::Leaving })
                 }
--- a/agaterouted/src/upstream.rs
+++ b/agaterouted/src/upstream.rs
@@ -12,7 +12,7 @@
 
 use agateroute_core::Table;
 use bytes::Bytes;
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -188,6 +188,11 @@
     }
 }
 
+/// Whether a status can be that of a final answer. The HTTP library also passes on 101 and 600 to 999.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether a server accepts a new connection.
 pub async fn accepts(address: &str) -> bool {
     connect(address).await.is_ok()
--- a/agaterouted/tests/two_builds.rs
+++ b/agaterouted/tests/two_builds.rs
@@ -321,6 +321,8 @@
     Unknown,
     /// A later build sends parts of a kind that this one does not know, among the others.
     UnknownParts,
+    /// The build before hands on any status of a server.
+    Status(u32),
 }
 
 /// A peer of another build, which reaches servers.
@@ -350,7 +352,8 @@
             // What gRPC servers answer to a call that they do not know.
             return Err(Status::unimplemented(""));
         }
-        let head = ForwardHead { status: 200, ..ForwardHead::default() };
+        let status = if let Forwards::Status(status) = self.0 { status } else { 200 };
+        let head = ForwardHead { status, ..ForwardHead::default() };
         let parts = [
             None,
             Some(Part::Head(head)),
@@ -441,3 +444,14 @@
         assert!(answer.complete, "{path}");
     }
 }
+
+/// Guards against a status of a server in trouble that a peer of the build before hands on as an answer.
+#[tokio::test]
+async fn invalid_status_of_a_peer() {
+    for status in [0, 101, 600, 999, 1_000] {
+        let platform = start_platform(3, 0, 0).await;
+        let instance = start_cut(&platform, Forwards::Status(status)).await;
+        let answer = instance.call("POST", "/order/", "yew-key", "").await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{status}");
+    }
+}
