Take no list of servers from a peer that is older than the own one

A peer's list was applied however old it was, so an instance that had taken a new list from one peer and then an old one from another handed on the old content under the revision of the new one, and entries with a lower revision came back everywhere. A list whose revision is lower than that of the own content is not applied now, and its age is not recorded; so the revision that is handed on is that of the content.

Failed before, passes now: older_list_replaces_nothing (servers in force 1, 1, 2, 1, 2, 1 before).

--- a/agaterouted/src/readers.rs
+++ b/agaterouted/src/readers.rs
@@ -441,8 +441,11 @@
     }
     // The list of a peer that has not noticed a return of the service compares with nothing here.
     let current = reply.era.checked_sub(1) == instance.source.era();
+    // An older list would bring servers back that have left, and be handed on under the revision of the newer one.
+    let newer = daemon.snapshot.servers_revision() <= reply.servers_revision;
     if let Some(age) = reply.servers_age.checked_sub(1)
         && current
+        && newer
         && apply_servers(instance, address, &reply)
     {
         daemon.snapshot.record_servers(requested_at, age, reply.servers_revision);
